--- /dev/null
+++ b/common/peers/client.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const dialTimeout = time.Second
+
+// A Client calls other processes of the fleet and keeps one connection to each.
+type Client struct {
+	proof [sha256.Size]byte
+	bytes atomic.Int64
+	mu    sync.Mutex
+	conns map[string]*rpc.Client
+}
+
+// NewClient returns a client that proves that it knows the fleet's secret.
+func NewClient(secret string) *Client {
+	return &Client{proof: sha256.Sum256([]byte(secret)), conns: map[string]*rpc.Client{}}
+}
+
+// Bytes returns how many bytes the client's connections have carried both ways.
+func (c *Client) Bytes() int64 {
+	return c.bytes.Load()
+}
+
+// Call makes one call and gives up when ctx ends; it may then have taken effect.
+func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return fmt.Errorf("call %s at %s: %w", method, address, err)
+	}
+	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err == nil {
+		return nil
+	}
+	if _, answered := err.(rpc.ServerError); !answered {
+		// The connection may be dead; a paused host would hold every later call too.
+		c.drop(address, conn)
+	}
+	return fmt.Errorf("call %s at %s: %w", method, address, err)
+}
+
+// Close closes every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		// A connection that is already dead is as good as closed.
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+func (c *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	c.mu.Unlock()
+	if ok {
+		return conn, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := raw.Write(c.proof[:]); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	conn = rpc.NewClient(&countedConn{Conn: raw, bytes: &c.bytes})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other, ok := c.conns[address]; ok {
+		_ = conn.Close()
+		return other, nil
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Client) drop(address string, conn *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	_ = conn.Close()
+}
+
+// countedConn is a connection that counts its bytes.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/common/peers/server.go
@@ -0,0 +1,109 @@
+package peers
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const proofTimeout = 5 * time.Second
+
+// A Server answers the control messages of other processes of the fleet.
+type Server struct {
+	proof    [sha256.Size]byte
+	rpc      *rpc.Server
+	listener net.Listener
+	bytes    atomic.Int64
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	closed   bool
+}
+
+// NewServer returns a server at address of the services given by name.
+func NewServer(address, secret string, services map[string]any) (*Server, error) {
+	s := &Server{proof: sha256.Sum256([]byte(secret)), rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+	for name, service := range services {
+		if err := s.rpc.RegisterName(name, service); err != nil {
+			return nil, fmt.Errorf("register control service %s: %w", name, err)
+		}
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for control messages: %w", err)
+	}
+	s.listener = listener
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Bytes returns how many bytes the server's connections have carried both ways.
+func (s *Server) Bytes() int64 {
+	return s.bytes.Load()
+}
+
+// Start serves until Stop is called.
+func (s *Server) Start(context.Context) error {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.closed {
+				return nil
+			}
+			return fmt.Errorf("accept control connection: %w", err)
+		}
+		go s.serve(conn)
+	}
+}
+
+// Stop closes the listener and every connection.
+func (s *Server) Stop(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	return s.listener.Close()
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	if !s.admit(conn) {
+		return
+	}
+	s.rpc.ServeConn(&countedConn{Conn: conn, bytes: &s.bytes})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// admit reports whether the other side knows the fleet's secret.
+func (s *Server) admit(conn net.Conn) bool {
+	var proof [sha256.Size]byte
+	if err := conn.SetReadDeadline(time.Now().Add(proofTimeout)); err != nil {
+		return false
+	}
+	if _, err := io.ReadFull(conn, proof[:]); err != nil {
+		return false
+	}
+	if subtle.ConstantTimeCompare(proof[:], s.proof[:]) != 1 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = true
+	return !s.closed && conn.SetReadDeadline(time.Time{}) == nil
+}
--- /dev/null
+++ b/common/report/doc.go
@@ -0,0 +1,2 @@
+// Package report holds what an entry host tells operators of itself.
+package report
--- /dev/null
+++ b/common/report/report.go
@@ -0,0 +1,54 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+
+	"jackdawhinge/common/targets"
+)
+
+// The paths of a host's operators' interface.
+const (
+	StatusPath  = "/status"
+	ExplainPath = "/explain"
+)
+
+// An Upstream is what a host believes of an upstream; loads are in tokens, and Known is false where it knows none.
+type Upstream struct {
+	Name          string  `json:"name"`
+	Model         string  `json:"model"`
+	FailureDomain string  `json:"failure-domain"`
+	Owner         string  `json:"owner"`
+	Load          int64   `json:"load"`
+	Known         bool    `json:"known"`
+	Mean          float64 `json:"mean-load"`
+	Waiting       int     `json:"waiting"`
+	WaitingTokens int64   `json:"waiting-tokens"`
+	Limit         int64   `json:"limit"`
+}
+
+// A Status is what a host believes, and how old the host list is that it rests on.
+type Status struct {
+	Host       string           `json:"host"`
+	Ready      bool             `json:"ready"`
+	Revision   int64            `json:"revision"`
+	ListAge    targets.Duration `json:"list-age"`
+	Moved      int              `json:"moved-chats"`
+	EntryHosts []string         `json:"entry-hosts"`
+	Upstreams  []Upstream       `json:"upstreams"`
+}
+
+// Sort puts the upstreams in order of model and name.
+func (s *Status) Sort() {
+	slices.SortFunc(s.Upstreams, func(a, b Upstream) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// An Explanation is where a chat would go, candidate by candidate, best first.
+type Explanation struct {
+	Host       string     `json:"host"`
+	Model      string     `json:"model"`
+	Multiple   float64    `json:"load-multiple"`
+	Candidates []Upstream `json:"candidates"`
+}
--- /dev/null
+++ b/common/roster/client.go
@@ -0,0 +1,63 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const readTimeout = 5 * time.Second
+
+// A Client is a reader of the host list over HTTP.
+type Client struct {
+	url   string
+	http  *http.Client
+	bytes atomic.Int64
+}
+
+// NewClient returns a client of the host list at url.
+func NewClient(url string) *Client {
+	return &Client{url: url, http: &http.Client{}}
+}
+
+// Bytes returns how many bytes of answers this client has read.
+func (c *Client) Bytes() int64 {
+	return c.bytes.Load()
+}
+
+// Read returns the list, and false if it is still the one with the entity tag given.
+func (c *Client) Read(ctx context.Context, tag string) (list List, newTag string, changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, http.NoBody)
+	if err != nil {
+		return List{}, "", false, fmt.Errorf("read host list: %w", err)
+	}
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return List{}, "", false, fmt.Errorf("read host list: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return List{}, "", false, fmt.Errorf("read host list: %w", err)
+	}
+	c.bytes.Add(int64(len(body)))
+	if resp.StatusCode == http.StatusNotModified {
+		return List{}, tag, false, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return List{}, "", false, fmt.Errorf("read host list: status %d", resp.StatusCode)
+	}
+	if err := json.Unmarshal(body, &list); err != nil {
+		return List{}, "", false, fmt.Errorf("read host list: %w", err)
+	}
+	return list, resp.Header.Get("Etag"), true, nil
+}
--- /dev/null
+++ b/jackdaw/internal/cmd/doc.go
@@ -0,0 +1,3 @@
+// Package cmd is the operators' command line: commands, which publish, and
+// queries, which only ask.
+package cmd
--- /dev/null
+++ b/jackdaw/internal/cmd/statuscmd.go
@@ -0,0 +1,109 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"jackdawhinge/common/report"
+)
+
+const queryTimeout = 5 * time.Second
+
+func newStatusCmd(c *config) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show the upstreams, their load, and how old this host's knowledge is",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var status report.Status
+			if err := c.query(cmd.Context(), report.StatusPath, nil, &status); err != nil {
+				return err
+			}
+			return c.print(cmd.OutOrStdout(), status, func(w io.Writer) error {
+				if _, err := fmt.Fprintf(w, "host %s  ready %t  revision %d  host list %s old  %d entry hosts  %d chats moved\n",
+					status.Host, status.Ready, status.Revision, time.Duration(status.ListAge), len(status.EntryHosts), status.Moved); err != nil {
+					return err
+				}
+				return printUpstreams(w, status.Upstreams)
+			})
+		},
+	}
+}
+
+func newExplainCmd(c *config) *cobra.Command {
+	var workspace, chat, model string
+	cmd := &cobra.Command{
+		Use:   "explain",
+		Short: "Show where a chat would go and why, candidate by candidate",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var e report.Explanation
+			q := url.Values{"workspace": {workspace}, "chat": {chat}, "model": {model}}
+			if err := c.query(cmd.Context(), report.ExplainPath, q, &e); err != nil {
+				return err
+			}
+			return c.print(cmd.OutOrStdout(), e, func(w io.Writer) error {
+				if _, err := fmt.Fprintf(w, "best first; none may carry more than %.2f times the mean load\n", e.Multiple); err != nil {
+					return err
+				}
+				return printUpstreams(w, e.Candidates)
+			})
+		},
+	}
+	cmd.Flags().StringVar(&workspace, "workspace", "", "the chat's workspace")
+	cmd.Flags().StringVar(&chat, "chat", "", "the chat")
+	cmd.Flags().StringVar(&model, "model", "", "the model that the chat uses")
+	return cmd
+}
+
+func printUpstreams(out io.Writer, upstreams []report.Upstream) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(w, "UPSTREAM\tMODEL\tDOMAIN\tOWNER\tLOAD\tMEAN\tWAITING\tLIMIT"); err != nil {
+		return err
+	}
+	for _, u := range upstreams {
+		load := "unknown"
+		if u.Known {
+			load = fmt.Sprint(u.Load)
+		}
+		if _, err := fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.0f\t%d\t%d\n", u.Name, u.Model, u.FailureDomain, u.Owner, load, u.Mean, u.Waiting, u.Limit); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// query asks the host of the settings.
+func (c *config) query(ctx context.Context, path string, q url.Values, v any) error {
+	s, err := c.settings()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Host+path+"?"+q.Encode(), http.NoBody)
+	if err != nil {
+		return fmt.Errorf("ask host %s: %w", s.Host, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("ask host %s: %w", s.Host, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("ask host %s: %w", s.Host, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("ask host %s: status %d: %s", s.Host, resp.StatusCode, body)
+	}
+	return json.Unmarshal(body, v)
+}
--- /dev/null
+++ b/jackdaw/internal/cmd/targetsshowcmd.go
@@ -0,0 +1,80 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"jackdawhinge/common/targets"
+)
+
+// shown is what targets show reports.
+type shown struct {
+	Revision int64            `json:"revision"`
+	Document targets.Document `json:"document"`
+}
+
+func newTargetsShowCmd(c *config) *cobra.Command {
+	return &cobra.Command{
+		Use:   "show",
+		Short: "Show the configuration that the log holds",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := c.settings()
+			if err != nil {
+				return err
+			}
+			_, state, err := openConfiguration(cmd.Context(), s)
+			if err != nil {
+				return err
+			}
+			enc := json.NewEncoder(cmd.OutOrStdout())
+			enc.SetIndent("", "  ")
+			return enc.Encode(shown{Revision: state.Revision, Document: state.Document})
+		},
+	}
+}
+
+func newTargetsHistoryCmd(c *config) *cobra.Command {
+	return &cobra.Command{
+		Use:   "history",
+		Short: "List the latest changes and what was decided on each",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := c.settings()
+			if err != nil {
+				return err
+			}
+			_, state, err := openConfiguration(cmd.Context(), s)
+			if err != nil {
+				return err
+			}
+			return c.print(cmd.OutOrStdout(), state.Decisions, func(w io.Writer) error {
+				for _, d := range state.Decisions {
+					if _, err := fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", d.Revision, d.Verdict, d.Operator, d.Reason); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		},
+	}
+}
+
+func newTargetsHashCmd() *cobra.Command {
+	return &cobra.Command{
+		Use:   "hash-token",
+		Short: "Read a workspace's token from standard input and print the hash that the configuration holds",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var token string
+			if _, err := fmt.Fscan(cmd.InOrStdin(), &token); err != nil {
+				return fmt.Errorf("read token: %w", err)
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), targets.HashToken(token))
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/jackdaw/internal/publish/doc.go
@@ -0,0 +1,3 @@
+// Package publish puts an operator's change into the configuration stream and
+// finds out what became of it.
+package publish
--- /dev/null
+++ b/jackdawd/internal/admin/handler.go
@@ -0,0 +1,88 @@
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"jackdawhinge/common/report"
+	"jackdawhinge/common/targets"
+	"jackdawhinge/jackdawd/internal/routing"
+)
+
+// A Host is what the interface shows.
+type Host interface {
+	View() *routing.View
+	Board() *routing.Board
+	Depth(u *routing.Upstream) (requests int, tokens, limit int64)
+	Ready() bool
+	ListAge() time.Duration
+}
+
+// Handler returns the handler of liveness, readiness, metrics, status and explanations.
+func Handler(host Host, metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !host.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", metrics)
+	mux.HandleFunc("GET "+report.StatusPath, func(w http.ResponseWriter, _ *http.Request) { write(w, status(host)) })
+	mux.HandleFunc("GET "+report.ExplainPath, func(w http.ResponseWriter, r *http.Request) { serveExplain(host, w, r) })
+	return mux
+}
+
+func write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A reader that has gone away needs no answer.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func status(host Host) report.Status {
+	view := host.View()
+	s := report.Status{
+		Host:     view.Self(),
+		Ready:    host.Ready(),
+		Revision: view.Revision(),
+		ListAge:  targets.Duration(host.ListAge().Round(time.Millisecond)),
+		Moved:    host.Board().Moves(),
+	}
+	for _, h := range view.Hosts() {
+		s.EntryHosts = append(s.EntryHosts, h.Name())
+	}
+	for _, pool := range view.Pools() {
+		for _, u := range pool.Upstreams() {
+			s.Upstreams = append(s.Upstreams, upstreamStatus(host, view, pool, u))
+		}
+	}
+	s.Sort()
+	return s
+}
+
+func upstreamStatus(host Host, view *routing.View, pool *routing.Pool, u *routing.Upstream) report.Upstream {
+	owner, _ := view.Owner(u.Hash())
+	load, known := host.Board().Load(time.Now(), u)
+	requests, tokens, limit := host.Depth(u)
+	return report.Upstream{
+		Name: u.Name(), Model: pool.Model(), FailureDomain: u.FailureDomain(), Owner: owner.Name(),
+		Load: load, Known: known, Mean: host.Board().Mean(time.Now(), pool),
+		Waiting: requests, WaitingTokens: tokens, Limit: limit,
+	}
+}
+
+func serveExplain(host Host, w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	view := host.View()
+	pool, ok := view.Pool(q.Get("model"))
+	if !ok {
+		http.Error(w, "model: there is no such model", http.StatusNotFound)
+		return
+	}
+	e := report.Explanation{Host: view.Self(), Model: pool.Model(), Multiple: pool.Multiple()}
+	for _, u := range pool.Rank(routing.ChatHash(q.Get("workspace"), q.Get("chat"))) {
+		e.Candidates = append(e.Candidates, upstreamStatus(host, view, pool, u))
+	}
+	write(w, e)
+}
--- /dev/null
+++ b/jackdawd/internal/dispatch/owner.go
@@ -0,0 +1,373 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"jackdawhinge/common/targets"
+	"jackdawhinge/common/upstream"
+	"jackdawhinge/jackdawd/internal/delivery"
+	"jackdawhinge/jackdawd/internal/queue"
+	"jackdawhinge/jackdawd/internal/routing"
+	"jackdawhinge/jackdawd/internal/work"
+)
+
+const (
+	// stallTimeout is how long an answer may pause before its connection counts as broken.
+	stallTimeout = 5 * time.Second
+	// firstFrameTimeout is how long an upstream may take until its first frame.
+	firstFrameTimeout = 30 * time.Second
+	maxResumes        = 3
+	resumeBackoff     = 50 * time.Millisecond
+	// unknownCapacity stands for an upstream whose capacity the host list does not give.
+	unknownCapacity = 1 << 40
+	maxServiceBytes = 8 << 20
+	retryWhenFull   = 2 * time.Second
+)
+
+// An Observer takes this host's own evidence on whether a host answers.
+type Observer interface {
+	Observe(name string, ok bool)
+}
+
+// An Owner passes work on to the upstreams that this host owns, each behind a queue.
+type Owner struct {
+	views    func() *routing.View
+	board    *routing.Board
+	lengths  *queue.Lengths
+	client   *delivery.Client
+	observer Observer
+	tracer   trace.Tracer
+	mu       sync.Mutex
+	queues   map[uint64]*line
+}
+
+// line is the queue before one upstream.
+type line struct {
+	queue *queue.Queue
+	limit *queue.Limit
+}
+
+// NewOwner returns an owner that counts loads on the board.
+func NewOwner(views func() *routing.View, board *routing.Board, client *delivery.Client, observer Observer) *Owner {
+	return &Owner{
+		views:    views,
+		board:    board,
+		lengths:  queue.NewLengths(0),
+		client:   client,
+		observer: observer,
+		tracer:   otel.Tracer("jackdawd/dispatch"),
+		queues:   map[uint64]*line{},
+	}
+}
+
+// counter counts one upstream's load on the board.
+type counter struct {
+	owner *Owner
+	model string
+	at    *routing.Upstream
+}
+
+// Fits reports whether the cost stays inside the load multiple.
+func (c counter) Fits(cost int64) bool {
+	pool, ok := c.owner.views().Pool(c.model)
+	return !ok || c.owner.board.Fits(time.Now(), pool, c.at, cost)
+}
+
+// Start counts the cost.
+func (c counter) Start(cost int64) { c.owner.board.Start(c.at, cost) }
+
+// Finish takes the cost off again.
+func (c counter) Finish(cost int64) { c.owner.board.Finish(c.at, cost) }
+
+// Wake lets every queue look again whether its next request fits.
+func (o *Owner) Wake() {
+	o.mu.Lock()
+	lines := make([]*line, 0, len(o.queues))
+	for _, l := range o.queues {
+		lines = append(lines, l)
+	}
+	o.mu.Unlock()
+	for _, l := range lines {
+		l.queue.Wake()
+	}
+}
+
+// Depth returns the requests that wait before an upstream, their tokens and the limit.
+func (o *Owner) Depth(u *routing.Upstream) (requests int, tokens, limit int64) {
+	o.mu.Lock()
+	l, ok := o.queues[u.Hash()]
+	o.mu.Unlock()
+	if !ok {
+		return 0, 0, u.Capacity()
+	}
+	requests, tokens = l.queue.Waiting()
+	return requests, tokens, l.limit.Tokens()
+}
+
+// Serve brings an item's answer from the upstream named to the sink, or returns
+// the name of the upstream that the item is moved to.
+func (o *Owner) Serve(ctx context.Context, item *work.Item, name string, attempt int, sink delivery.Sink) (elsewhere string, err error) {
+	beginBy := time.Now().Add(item.BeginWithin)
+	pool, ok := o.views().Pool(item.Model)
+	if !ok {
+		return "", work.Refuse(http.StatusNotFound, work.UnknownModel, "there is no model %q", item.Model)
+	}
+	at, ok := pool.Find(name)
+	if !ok {
+		return first(pool, item.Chat)
+	}
+	cost := o.cost(item, pool)
+	placement, to := o.board.Place(time.Now(), pool, item.Chat, at, cost, attempt)
+	if placement == routing.Moved {
+		return to.Name(), nil
+	}
+	l := o.line(at, item.Model)
+	release, err := l.queue.Acquire(ctx, o.ticket(item, cost, beginBy))
+	if err != nil {
+		return "", refuseWaiting(err, item)
+	}
+	defer release()
+	if _, ok := o.current(item.Model, at); !ok {
+		// It waited while its upstream left; passing it on now would give a
+		// leaving upstream new work.
+		return first(pool, item.Chat)
+	}
+	return "", o.deliver(ctx, item, at, l.limit, sink)
+}
+
+func (o *Owner) current(model string, u *routing.Upstream) (*routing.Upstream, bool) {
+	pool, ok := o.views().Pool(model)
+	if !ok {
+		return nil, false
+	}
+	return pool.Find(u.Name())
+}
+
+// first returns the chat's first choice, for a host whose list differed.
+func first(pool *routing.Pool, chat uint64) (string, error) {
+	ranked := pool.Rank(chat)
+	if len(ranked) == 0 {
+		return "", work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "no upstream serves %q", pool.Model()).Retry(retryWhenFull)
+	}
+	return ranked[0].Name(), nil
+}
+
+func refuseWaiting(err error, item *work.Item) error {
+	if errors.Is(err, queue.ErrTooLate) || errors.Is(err, queue.ErrFull) {
+		return work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "class %q: %v", item.Class, err).Retry(retryWhenFull)
+	}
+	return work.Refuse(http.StatusServiceUnavailable, work.Cancelled, "the caller left: %v", err)
+}
+
+func (o *Owner) cost(item *work.Item, pool *routing.Pool) int64 {
+	if pool.Kind() == targets.Service {
+		return 1
+	}
+	return item.PromptTokens() + o.lengths.Expect(item.Class, item.MaxTokens)
+}
+
+func (o *Owner) ticket(item *work.Item, cost int64, beginBy time.Time) queue.Ticket {
+	return queue.Ticket{
+		Workspace: item.Workspace,
+		Class:     item.Class,
+		Urgency:   item.Urgency,
+		Share:     o.views().Document().Classes[item.Class].Share,
+		Cost:      cost,
+		Returning: item.Returning(),
+		BeginBy:   beginBy,
+	}
+}
+
+func (o *Owner) line(u *routing.Upstream, model string) *line {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l, ok := o.queues[u.Hash()]
+	if !ok {
+		capacity := u.Capacity()
+		if capacity == 0 {
+			capacity = unknownCapacity
+		}
+		limit := queue.NewLimit(capacity)
+		l = &line{limit: limit, queue: queue.New(limit, counter{owner: o, model: model, at: u})}
+		o.queues[u.Hash()] = l
+	}
+	return l
+}
+
+func (o *Owner) deliver(ctx context.Context, item *work.Item, u *routing.Upstream, limit *queue.Limit, sink delivery.Sink) error {
+	ctx, span := o.tracer.Start(ctx, "upstream", trace.WithAttributes(
+		attribute.String("upstream", u.Name()), attribute.String("model", item.Model), attribute.String("class", item.Class)))
+	defer span.End()
+	if item.Service != nil {
+		return o.callService(ctx, item, u, sink)
+	}
+	p := &delivery.Progress{ID: item.ID}
+	last := time.Now()
+	observed := func(f upstream.Frame) error {
+		now := time.Now()
+		if f.Position > 0 {
+			limit.Observe(now, now.Sub(last))
+		}
+		last = now
+		return sink(f)
+	}
+	if err := o.begin(ctx, item, u, p, observed); err != nil {
+		return err
+	}
+	o.lengths.Observe(item.Class, p.Next)
+	return nil
+}
+
+// begin asks the upstream for the answer and resumes it where it breaks off.
+func (o *Owner) begin(ctx context.Context, item *work.Item, u *routing.Upstream, p *delivery.Progress, sink delivery.Sink) error {
+	body, err := json.Marshal(upstream.Request{
+		ID: item.ID, Model: item.Model, Messages: item.Messages, MaxTokens: item.MaxTokens, Priority: item.Urgency.Rank(), Options: item.Options,
+	})
+	if err != nil {
+		return work.Refuse(http.StatusBadRequest, work.BadRequest, "the request cannot be encoded")
+	}
+	err = o.exchange(ctx, http.MethodPost, u, upstream.GeneratePath, body, item.ID, p, sink)
+	if delivery.NeverSent(err) {
+		o.observer.Observe(u.Name(), false)
+		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "upstream %s cannot be reached", u.Name()).Retry(retryWhenFull)
+	}
+	return o.resume(ctx, u, p, sink, err)
+}
+
+// Resume brings the rest of an answer from the upstream to the sink.
+func (o *Owner) Resume(ctx context.Context, u *routing.Upstream, p *delivery.Progress, sink delivery.Sink) error {
+	return o.resume(ctx, u, p, sink, delivery.ErrBroken)
+}
+
+// resume goes on with an answer that broke off with err, until it is whole or the tries are used up.
+func (o *Owner) resume(ctx context.Context, u *routing.Upstream, p *delivery.Progress, sink delivery.Sink, err error) error {
+	for try := 0; err != nil; try++ {
+		if ctx.Err() != nil || errors.Is(err, delivery.ErrSink) {
+			return work.Uncertain(work.Cancelled, "the reader of the answer left")
+		}
+		var refused *work.Refusal
+		if errors.As(err, &refused) {
+			return refused
+		}
+		if try == maxResumes {
+			o.observer.Observe(u.Name(), false)
+			return work.Uncertain(work.UpstreamFailed, "upstream %s broke off at position %d: %v", u.Name(), p.Next, err)
+		}
+		wait(ctx, resumeBackoff<<try)
+		path := upstream.RequestsPath + p.ID + "?from=" + strconv.Itoa(p.Next)
+		err = o.exchange(ctx, http.MethodGet, u, path, nil, p.ID, p, sink)
+	}
+	o.observer.Observe(u.Name(), true)
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// exchange makes one HTTP call and copies the frames of its answer.
+func (o *Owner) exchange(ctx context.Context, method string, u *routing.Upstream, path string, body []byte, id string, p *delivery.Progress, sink delivery.Sink) error {
+	ctx, watch := watchStall(ctx, firstFrameTimeout)
+	defer watch.stop()
+	resp, err := o.send(ctx, method, u, path, body, id)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return refusedByUpstream(resp, u)
+	}
+	return delivery.Copy(resp.Body, p, func(f upstream.Frame) error {
+		watch.frame(stallTimeout)
+		return sink(f)
+	})
+}
+
+func (o *Owner) send(ctx context.Context, method string, u *routing.Upstream, path string, body []byte, id string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.Address()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("call upstream %s: %w", u.Name(), err)
+	}
+	req.Header.Set(upstream.RequestIDHeader, id)
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	return o.client.Do(req)
+}
+
+// refusedByUpstream returns what an upstream's error status means. A status says
+// nothing about execution, unless the protocol defines it so: 400 and 429 are
+// sent before a request is taken in.
+func refusedByUpstream(resp *http.Response, u *routing.Upstream) error {
+	switch resp.StatusCode {
+	case http.StatusBadRequest:
+		return work.Refuse(http.StatusBadRequest, work.BadRequest, "upstream %s refused the request", u.Name())
+	case http.StatusTooManyRequests:
+		return work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "upstream %s is full", u.Name()).Retry(retryWhenFull)
+	default:
+		return fmt.Errorf("upstream %s answered with status %d", u.Name(), resp.StatusCode)
+	}
+}
+
+// callService passes a call through to a plain service and its answer back in one frame.
+func (o *Owner) callService(ctx context.Context, item *work.Item, u *routing.Upstream, sink delivery.Sink) error {
+	ctx, cancel := context.WithTimeout(ctx, firstFrameTimeout)
+	defer cancel()
+	answer, err := o.askService(ctx, item, u)
+	if delivery.NeverSent(err) {
+		o.observer.Observe(u.Name(), false)
+		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "upstream %s cannot be reached", u.Name()).Retry(retryWhenFull)
+	}
+	if err != nil {
+		o.observer.Observe(u.Name(), false)
+		return work.Uncertain(work.UpstreamFailed, "upstream %s gave no whole answer: %v", u.Name(), err)
+	}
+	o.observer.Observe(u.Name(), true)
+	if err := sink(upstream.Frame{RequestID: item.ID, Finish: upstream.FinishStop, Answer: answer}); err != nil {
+		return work.Uncertain(work.Cancelled, "the reader of the answer left")
+	}
+	return nil
+}
+
+func (o *Owner) askService(ctx context.Context, item *work.Item, u *routing.Upstream) (*upstream.Answer, error) {
+	path := upstream.ServicePath + item.Model + "/" + item.Service.Path
+	req, err := http.NewRequestWithContext(ctx, item.Service.Method, "http://"+u.Address()+path, bytes.NewReader(item.Service.Body))
+	if err != nil {
+		return nil, fmt.Errorf("call upstream %s: %w", u.Name(), err)
+	}
+	req.Header.Set(upstream.RequestIDHeader, item.ID)
+	if item.Service.ContentType != "" {
+		req.Header.Set("Content-Type", item.Service.ContentType)
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := o.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if id := resp.Header.Get(upstream.RequestIDHeader); id != "" && id != item.ID {
+		return nil, &delivery.CrossedError{Want: item.ID, Got: id}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceBytes))
+	if err != nil {
+		return nil, err
+	}
+	return &upstream.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
--- /dev/null
+++ b/jackdawd/internal/ledger/keeper.go
@@ -0,0 +1,87 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jackdawhinge/common/peers"
+)
+
+const (
+	// Partitions is how many streams the claims are spread over.
+	Partitions = 16
+	// partitionIdle is how long a partition that nobody asks for is kept: another host owns it now.
+	partitionIdle = 10 * time.Minute
+)
+
+// PartitionOf returns the partition that a key's claims go to.
+func PartitionOf(key string) uint64 {
+	return xxhash.Sum64String(key) % Partitions
+}
+
+// A Keeper serves the partitions that this host is asked for. Any host may serve
+// any partition: who does is a matter of speed, the log alone decides.
+type Keeper struct {
+	journal Journal
+	mu      sync.Mutex
+	parts   map[uint64]*Partition
+}
+
+// NewKeeper returns a keeper without partitions.
+func NewKeeper(j Journal) *Keeper {
+	return &Keeper{journal: j, parts: map[uint64]*Partition{}}
+}
+
+// Claim claims a key in its partition.
+func (k *Keeper) Claim(ctx context.Context, args peers.ClaimArgs) (peers.ClaimReply, error) {
+	return k.partition(args.Key).Claim(ctx, args)
+}
+
+// End ends a claim in its key's partition.
+func (k *Keeper) End(args peers.CloseArgs) error {
+	return k.partition(args.Key).End(args)
+}
+
+// Warm starts to read the partitions that this host owns, before the first claim asks for them.
+func (k *Keeper) Warm(owned func(partition uint64) bool) {
+	for n := range uint64(Partitions) {
+		if owned(n) {
+			k.open(n)
+		}
+	}
+}
+
+// Close stops every partition.
+func (k *Keeper) Close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for n, p := range k.parts {
+		p.Close()
+		delete(k.parts, n)
+	}
+}
+
+func (k *Keeper) partition(key string) *Partition {
+	return k.open(PartitionOf(key))
+}
+
+func (k *Keeper) open(n uint64) *Partition {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for other, p := range k.parts {
+		if other != n && time.Since(p.IdleSince()) > partitionIdle {
+			p.Close()
+			delete(k.parts, other)
+		}
+	}
+	p, ok := k.parts[n]
+	if !ok {
+		p = NewPartition(k.journal, fmt.Sprintf("claims-%02d", n))
+		k.parts[n] = p
+	}
+	return p
+}
--- /dev/null
+++ b/jackdawd/internal/ledger/partition.go
@@ -0,0 +1,254 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"jackdawhinge/common/journal"
+	"jackdawhinge/common/peers"
+)
+
+const (
+	// appendEvery is the least time between two appends to a partition: claims that come between share one.
+	appendEvery = 200 * time.Millisecond
+	readWait    = 10 * time.Second
+	retryEvery  = 500 * time.Millisecond
+	// claimTimeout is how long a claim may take to be read back.
+	claimTimeout = 1500 * time.Millisecond
+	// maxAppend bounds the records of one append.
+	maxAppend = 256
+	// maxPending bounds the records that wait to be appended.
+	maxPending = 4096
+)
+
+// ErrNotConfirmed says that a claim was not read back in time; it may still stand in the log.
+var ErrNotConfirmed = errors.New("claim was not read back in time")
+
+// A Journal is the platform's log service.
+type Journal interface {
+	Append(ctx context.Context, stream string, records ...json.RawMessage) (int64, error)
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (journal.Batch, error)
+}
+
+// A Partition follows one claim stream and appends to it.
+type Partition struct {
+	stream  string
+	journal Journal
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	fold    *Fold
+	caught  bool
+	down    bool
+	changed chan struct{}
+	pending []json.RawMessage
+	wake    chan struct{}
+	usedAt  time.Time
+}
+
+// NewPartition returns a partition that has started to read its stream from the earliest record kept.
+func NewPartition(j Journal, stream string) *Partition {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Partition{
+		stream: stream, journal: j, cancel: cancel, fold: NewFold(),
+		changed: make(chan struct{}), wake: make(chan struct{}, 1), usedAt: time.Now(),
+	}
+	go func() { p.read(ctx) }()
+	go func() { p.append(ctx) }()
+	return p
+}
+
+// Close stops the partition; appends that wait are lost, as if the host had failed.
+func (p *Partition) Close() {
+	p.cancel()
+}
+
+// IdleSince returns when the partition was last asked for something.
+func (p *Partition) IdleSince() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usedAt
+}
+
+// Claim claims a key and returns its state once the log has decided.
+func (p *Partition) Claim(ctx context.Context, args peers.ClaimArgs) (peers.ClaimReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if !p.awaitCaughtUp(ctx) {
+		return peers.ClaimReply{State: peers.Unready}, nil
+	}
+	if reply, known := p.state(args); known {
+		return reply, nil
+	}
+	if err := p.enqueue(Record{Kind: ClaimRecord, Claim: args.Claim, Key: args.Key, Body: args.Body}); err != nil {
+		return peers.ClaimReply{}, err
+	}
+	for {
+		changed := p.change()
+		if reply, known := p.state(args); known {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return peers.ClaimReply{}, fmt.Errorf("claim on %s: %w", p.stream, ErrNotConfirmed)
+		}
+	}
+}
+
+// End appends the end of a claim: its void or its outcome.
+func (p *Partition) End(args peers.CloseArgs) error {
+	r := Record{Kind: OutcomeRecord, Claim: args.Claim, Key: args.Key, Body: args.Body, State: args.State, Answer: args.Answer}
+	if args.Void {
+		r.Kind, r.State = VoidRecord, ""
+	}
+	return p.enqueue(r)
+}
+
+// awaitCaughtUp reports whether the stream has been read to its end. While the
+// log is down it does not wait: the caller is refused at once.
+func (p *Partition) awaitCaughtUp(ctx context.Context) bool {
+	for {
+		p.mu.Lock()
+		p.usedAt = time.Now()
+		caught, down, changed := p.caught, p.down || len(p.pending) >= maxPending, p.changed
+		p.mu.Unlock()
+		if caught || down {
+			return caught && !down
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (p *Partition) state(args peers.ClaimArgs) (peers.ClaimReply, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fold.State(time.Now(), args)
+}
+
+func (p *Partition) change() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+func (p *Partition) enqueue(r Record) error {
+	data, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.pending = append(p.pending, data)
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// append writes what is pending, at most once each appendEvery.
+func (p *Partition) append(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		}
+		for batch := p.take(); len(batch) > 0 && ctx.Err() == nil; batch = p.take() {
+			p.appendBatch(ctx, batch)
+			sleep(ctx, appendEvery)
+		}
+	}
+}
+
+// appendBatch appends a batch, again if its answer is lost: a record that then
+// stands twice counts once, since claims, voids and outcomes are idempotent.
+func (p *Partition) appendBatch(ctx context.Context, batch []json.RawMessage) {
+	for ctx.Err() == nil {
+		_, err := p.journal.Append(ctx, p.stream, batch...)
+		if err == nil {
+			return
+		}
+		logrus.WithError(err).Warn("ledger: An append failed and is repeated.")
+		sleep(ctx, retryEvery)
+	}
+}
+
+func (p *Partition) take() []json.RawMessage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := min(len(p.pending), maxAppend)
+	batch := p.pending[:n:n]
+	p.pending = p.pending[n:]
+	return batch
+}
+
+func (p *Partition) read(ctx context.Context) {
+	from, wait := int64(0), time.Duration(0)
+	for ctx.Err() == nil {
+		batch, err := p.journal.Read(ctx, p.stream, from, wait)
+		var trimmed *journal.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			from = trimmed.Earliest
+			p.absorb(journal.Batch{Earliest: from}, false)
+		case err != nil:
+			// What this host knows grows old: others may claim what it has not
+			// read. It goes on only after it has read to the end again.
+			p.lose()
+			wait = 0
+			sleep(ctx, retryEvery)
+		default:
+			from = batch.Next
+			p.absorb(batch, len(batch.Records) == 0)
+			if len(batch.Records) == 0 {
+				wait = readWait
+			}
+		}
+	}
+}
+
+// absorb folds a batch in; atEnd says that it was read up to the stream's end.
+func (p *Partition) absorb(batch journal.Batch, atEnd bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fold.Trim(batch.Earliest)
+	for _, r := range batch.Records {
+		if err := p.fold.Add(time.Now(), r); err != nil {
+			logrus.WithError(err).Error("ledger: A claim record was skipped.")
+		}
+	}
+	p.caught, p.down = p.caught || atEnd, false
+	p.notify()
+}
+
+func (p *Partition) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Partition) lose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.caught, p.down = false, true
+	p.notify()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/jackdawd/internal/routing/board.go
@@ -0,0 +1,311 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// rowLifetime is how long another owner's row counts; after it the upstream counts as carrying the mean.
+	rowLifetime = 30 * time.Second
+	// meanLifetime is how long a computed mean serves; it saves a walk over the pool on each decision.
+	meanLifetime = 100 * time.Millisecond
+	// maxMoves bounds the chats remembered away from their first choice.
+	maxMoves = 1 << 16
+	// moveLifetime is how long an idle chat stays where it was moved: its
+	// cached prefix there has then most likely been evicted.
+	moveLifetime = 10 * time.Minute
+	// floorShare is the part of an upstream's capacity below which the load
+	// multiple does not bind: a nearly idle fleet has no skew worth a cold cache.
+	floorShare = 16
+	// smoothing is the weight of the newest value in a moving average.
+	smoothing = 0.3
+)
+
+// A Row is what an owner says of an upstream's load, in tokens, and how long ago it was so.
+type Row struct {
+	Upstream uint64
+	Load     int64
+	Age      time.Duration
+}
+
+// A Board is what one host knows of the load of upstreams, exactly for those
+// it dispatches to and from other owners' rows for the rest.
+type Board struct {
+	mu     sync.Mutex
+	loads  map[uint64]*load
+	means  map[string]mean
+	moves  *simplelru.LRU[uint64, move]
+	random *rand.Rand
+}
+
+// mean is the mean load of a pool as it was a moment ago.
+type mean struct {
+	pool *Pool
+	load float64
+	at   time.Time
+}
+
+// load is the load of one upstream.
+type load struct {
+	owned    bool
+	own      int64
+	smoothed float64
+	foreign  int64
+	row      int64
+	rowAt    time.Time
+}
+
+type move struct {
+	upstream uint64
+	usedAt   time.Time
+}
+
+// NewBoard returns a board that knows nothing and draws from the source given.
+func NewBoard(source rand.Source) *Board {
+	moves, err := simplelru.NewLRU[uint64, move](maxMoves, nil)
+	if err != nil {
+		panic(err)
+	}
+	return &Board{loads: map[uint64]*load{}, means: map[string]mean{}, moves: moves, random: rand.New(source)}
+}
+
+// Own tells the board which upstreams this host now owns.
+func (b *Board) Own(owned func(*Upstream) bool, pools map[string]*Pool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := make(map[uint64]*load, len(b.loads))
+	for _, p := range pools {
+		for _, u := range p.upstreams {
+			l := b.load(u.hash)
+			l.owned = owned(u)
+			known[u.hash] = l
+		}
+	}
+	for hash, l := range b.loads {
+		if l.own > 0 {
+			known[hash] = l
+		}
+	}
+	b.loads = known
+}
+
+// Start counts a request's tokens against an upstream.
+func (b *Board) Start(u *Upstream, cost int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load(u.hash).own += cost
+}
+
+// Finish takes a request's tokens off an upstream again.
+func (b *Board) Finish(u *Upstream, cost int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load(u.hash).own -= cost
+}
+
+// Report takes in an upstream's own, late report of the tokens it holds.
+// What it holds beyond this host's requests was sent by hosts that hold another
+// list; without it two owners would each fill the upstream to its bound.
+func (b *Board) Report(u *Upstream, resident int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(u.hash)
+	l.smoothed += smoothing * (float64(l.own) - l.smoothed)
+	l.foreign = max(0, resident-max(l.own, int64(l.smoothed)))
+}
+
+// Merge takes in rows of other owners; the newer of two rows wins.
+func (b *Board) Merge(now time.Time, rows []Row) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range rows {
+		l := b.load(r.Upstream)
+		if at := now.Add(-r.Age); at.After(l.rowAt) {
+			l.row, l.rowAt = r.Load, at
+		}
+	}
+}
+
+// Rows returns up to limit rows on a pool for another owner, starting with this host's own.
+func (b *Board) Rows(now time.Time, p *Pool, limit int) []Row {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rows := make([]Row, 0, min(limit, len(p.upstreams)))
+	for _, u := range p.upstreams {
+		if l := b.load(u.hash); l.owned && len(rows) < limit {
+			rows = append(rows, Row{Upstream: u.hash, Load: l.total()})
+		}
+	}
+	// Pools larger than a message go out in turn, from a random start.
+	start := b.random.IntN(max(len(p.upstreams), 1))
+	for i := range p.upstreams {
+		u := p.upstreams[(start+i)%len(p.upstreams)]
+		l := b.load(u.hash)
+		if len(rows) == limit || l.owned || now.Sub(l.rowAt) > rowLifetime {
+			continue
+		}
+		rows = append(rows, Row{Upstream: u.hash, Load: l.row, Age: now.Sub(l.rowAt)})
+	}
+	return rows
+}
+
+// Load returns the tokens that an upstream is known to carry, and false if nothing is known.
+func (b *Board) Load(now time.Time, u *Upstream) (int64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.known(now, u)
+}
+
+// Mean returns the mean load of the pool's upstreams with a known load, in tokens.
+func (b *Board) Mean(now time.Time, p *Pool) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.mean(now, p)
+}
+
+// A Placement is the decision of an owner on a request that reached it.
+type Placement string
+
+// The placements.
+const (
+	Accept Placement = "accept"
+	Moved  Placement = "moved"
+	Wait   Placement = "wait"
+)
+
+// LastAttempt is the number of the attempt that is no longer moved but waits.
+const LastAttempt = 2
+
+// Place decides on a request for a chat at an upstream that this host owns:
+// it is accepted there, moved to the upstream returned, or waits for the load to fall.
+func (b *Board) Place(now time.Time, p *Pool, chat uint64, at *Upstream, cost int64, attempt int) (Placement, *Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if attempt == 0 {
+		if to := b.moved(now, p, chat); to != nil && to != at {
+			return Moved, to
+		}
+	}
+	bound := b.bound(now, p, at, cost)
+	if b.load(at.hash).total()+cost <= bound {
+		return Accept, at
+	}
+	if attempt >= LastAttempt {
+		return Wait, at
+	}
+	to := b.alternative(now, p, chat, at, cost, bound)
+	if to == nil {
+		return Wait, at
+	}
+	b.moves.Add(chat, move{upstream: to.hash, usedAt: now})
+	return Moved, to
+}
+
+// Fits reports whether a request's tokens stay inside the load multiple at an upstream that this host owns.
+func (b *Board) Fits(now time.Time, p *Pool, at *Upstream, cost int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.load(at.hash).total()+cost <= b.bound(now, p, at, cost)
+}
+
+// Moves returns how many chats are remembered away from their first choice.
+func (b *Board) Moves() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.moves.Len()
+}
+
+// moved returns where an earlier turn of the chat was moved to, if it is still warm there.
+func (b *Board) moved(now time.Time, p *Pool, chat uint64) *Upstream {
+	m, ok := b.moves.Get(chat)
+	if !ok {
+		return nil
+	}
+	if now.Sub(m.usedAt) > moveLifetime {
+		b.moves.Remove(chat)
+		return nil
+	}
+	for _, u := range p.upstreams {
+		if u.hash == m.upstream {
+			b.moves.Add(chat, move{upstream: u.hash, usedAt: now})
+			return u
+		}
+	}
+	b.moves.Remove(chat)
+	return nil
+}
+
+// bound returns the most tokens that an upstream may carry, the new request included.
+func (b *Board) bound(now time.Time, p *Pool, u *Upstream, cost int64) int64 {
+	if len(p.upstreams) < 2 {
+		return maxLoad
+	}
+	mean := b.mean(now, p) + float64(cost)/float64(len(p.upstreams))
+	// One request more than the mean must always fit, or small loads could not be placed at all.
+	return max(int64(p.multiple*mean), u.capacity/floorShare, cost)
+}
+
+func (b *Board) mean(now time.Time, p *Pool) float64 {
+	m := b.means[p.model]
+	if m.pool == p && now.Sub(m.at) < meanLifetime {
+		return m.load
+	}
+	sum, n := int64(0), 0
+	for _, u := range p.upstreams {
+		if load, ok := b.known(now, u); ok {
+			sum += load
+			n++
+		}
+	}
+	m = mean{pool: p, load: float64(sum) / float64(max(n, 1)), at: now}
+	b.means[p.model] = m
+	return m.load
+}
+
+// alternative returns the chat's best other candidate that has room, or else the
+// less loaded of two others drawn at random, or nil if neither has less load than at.
+func (b *Board) alternative(now time.Time, p *Pool, chat uint64, at *Upstream, cost, bound int64) *Upstream {
+	for _, u := range p.Rank(chat) {
+		if load, ok := b.known(now, u); u != at && ok && load+cost <= bound {
+			return u
+		}
+	}
+	var best *Upstream
+	bestLoad := b.load(at.hash).total()
+	for range 2 {
+		u := p.upstreams[b.random.IntN(len(p.upstreams))]
+		if load, ok := b.known(now, u); u != at && ok && load < bestLoad {
+			best, bestLoad = u, load
+		}
+	}
+	return best
+}
+
+func (b *Board) known(now time.Time, u *Upstream) (int64, bool) {
+	l := b.load(u.hash)
+	switch {
+	case l.owned:
+		return l.total(), true
+	case now.Sub(l.rowAt) <= rowLifetime:
+		return max(l.row, l.own), true
+	default:
+		return l.own, l.own > 0
+	}
+}
+
+func (b *Board) load(hash uint64) *load {
+	l, ok := b.loads[hash]
+	if !ok {
+		l = &load{}
+		b.loads[hash] = l
+	}
+	return l
+}
+
+func (l *load) total() int64 {
+	return l.own + l.foreign
+}
--- /dev/null
+++ b/jackdawd/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads the checked JSON settings of one entry host.
+package settings
--- /dev/null
+++ b/jackdawd/internal/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry sets up logs and traces, and counts what operators watch.
+package telemetry
--- /dev/null
+++ b/jackdawd/internal/telemetry/meter.go
@@ -0,0 +1,103 @@
+package telemetry
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rcrowley/go-metrics"
+
+	"jackdawhinge/jackdawd/internal/work"
+)
+
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+	// labelMark separates a metric's name from its label's name and value in the registry.
+	labelMark = "|"
+)
+
+// A Meter counts what callers were given, by class.
+type Meter struct {
+	registry metrics.Registry
+}
+
+// NewMeter returns a meter that has counted nothing.
+func NewMeter() *Meter {
+	return &Meter{registry: metrics.NewRegistry()}
+}
+
+// Answered counts a whole answer.
+func (m *Meter) Answered(class string, firstToken, total time.Duration) {
+	m.timer("first_token_seconds", class).Update(firstToken)
+	m.timer("answer_seconds", class).Update(total)
+}
+
+// Refused counts a refusal.
+func (m *Meter) Refused(class string, refusal *work.Refusal) {
+	name := strings.Join([]string{"refusals", "class", class, "code", string(refusal.Code)}, labelMark)
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+// Gauge registers a value that is read when metrics are collected.
+func (m *Meter) Gauge(name string, read func() int64) {
+	m.registry.GetOrRegister(name, metrics.NewFunctionalGauge(read))
+}
+
+func (m *Meter) timer(name, class string) metrics.Timer {
+	full := strings.Join([]string{name, "class", class}, labelMark)
+	created := func() metrics.Timer {
+		return metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)), metrics.NewMeter())
+	}
+	t, ok := m.registry.GetOrRegister(full, created).(metrics.Timer)
+	if !ok {
+		return metrics.NilTimer{}
+	}
+	return t
+}
+
+// Handler returns the HTTP handler from which collectors read the metrics.
+func (m *Meter) Handler() http.Handler {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collector{m.registry})
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+}
+
+// collector gives the registry's metrics to a collector of the usual kind.
+type collector struct {
+	registry metrics.Registry
+}
+
+// Describe sends nothing: the metrics depend on the classes.
+func (c collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect sends each metric of the registry.
+func (c collector) Collect(out chan<- prometheus.Metric) {
+	c.registry.Each(func(full string, metric any) {
+		parts := strings.Split(full, labelMark)
+		var names, values []string
+		for i := 1; i+1 < len(parts); i += 2 {
+			names = append(names, parts[i])
+			values = append(values, parts[i+1])
+		}
+		desc := prometheus.NewDesc("jackdawd_"+parts[0], "See docs/reference/metrics.md.", names, nil)
+		switch v := metric.(type) {
+		case metrics.Counter:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(v.Count()), values...)
+		case metrics.Gauge:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(v.Value()), values...)
+		case metrics.Timer:
+			out <- prometheus.MustNewConstSummary(desc, uint64(v.Count()), time.Duration(v.Sum()).Seconds(), quantiles(v), values...)
+		}
+	})
+}
+
+func quantiles(t metrics.Timer) map[float64]float64 {
+	out := map[float64]float64{}
+	for _, q := range []float64{0.5, 0.95, 0.99} {
+		out[q] = time.Duration(t.Percentile(q)).Seconds()
+	}
+	return out
+}
--- /dev/null
+++ b/jackdawd/internal/telemetry/traces.go
@@ -0,0 +1,50 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+
+	"jackdawhinge/jackdawd/internal/settings"
+)
+
+// Start sets up logs and traces and returns a function that sends the last traces off.
+func Start(s settings.Settings) (stop func(context.Context) error, err error) {
+	if err := startLogs(s); err != nil {
+		return nil, err
+	}
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if s.Traces.Collector == "" {
+		return func(context.Context) error { return nil }, nil
+	}
+	exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpoint(s.Traces.Collector), otlptracehttp.WithInsecure())
+	if err != nil {
+		return nil, fmt.Errorf("set up traces: %w", err)
+	}
+	provider := trace.NewTracerProvider(
+		trace.WithBatcher(exporter),
+		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(s.Traces.Share))),
+		trace.WithResource(resource.NewSchemaless(attribute.String("service.name", "jackdawd"), attribute.String("host.name", s.Name))),
+	)
+	otel.SetTracerProvider(provider)
+	return provider.Shutdown, nil
+}
+
+func startLogs(s settings.Settings) error {
+	level, err := logrus.ParseLevel(s.Logs.Level)
+	if err != nil {
+		return fmt.Errorf("set up logs: %w", err)
+	}
+	logrus.SetLevel(level)
+	if s.Logs.Format == settings.JSONLogs {
+		logrus.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,12 @@
+// Command standin runs the stand-ins for the platform and the upstreams, for trying things out on one machine.
+package main
+
+import (
+	"os"
+
+	"jackdawhinge/standin/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main())
+}
