--- a/common/peers/messages.go
+++ b/common/peers/messages.go
@@ -9,15 +9,45 @@
 	Age      time.Duration
 }
 
+// Rows are rows column by column, which takes two thirds of the bytes on the wire.
+type Rows struct {
+	Upstreams []uint64
+	Loads     []int64
+	AgeMillis []uint32
+}
+
+// Pack returns rows column by column.
+func Pack(rows []Row) Rows {
+	var r Rows
+	for _, row := range rows {
+		r.Upstreams = append(r.Upstreams, row.Upstream)
+		r.Loads = append(r.Loads, row.Load)
+		r.AgeMillis = append(r.AgeMillis, uint32(row.Age/time.Millisecond))
+	}
+	return r
+}
+
+// Unpack returns the rows, or none if the columns differ in length.
+func (r Rows) Unpack() []Row {
+	if len(r.Loads) != len(r.Upstreams) || len(r.AgeMillis) != len(r.Upstreams) {
+		return nil
+	}
+	rows := make([]Row, len(r.Upstreams))
+	for i := range rows {
+		rows[i] = Row{Upstream: r.Upstreams[i], Load: r.Loads[i], Age: time.Duration(r.AgeMillis[i]) * time.Millisecond}
+	}
+	return rows
+}
+
 // ExchangeArgs are the rows that one owner in a pool sends another.
 type ExchangeArgs struct {
 	Pool string
-	Rows []Row
+	Rows Rows
 }
 
 // ExchangeReply holds the rows of the other owner.
 type ExchangeReply struct {
-	Rows []Row
+	Rows Rows
 }
 
 // CheckpointReply is a host's folded configuration as JSON; Whole says whether it has one.
--- a/jackdawd/internal/dispatch/owner.go
+++ b/jackdawd/internal/dispatch/owner.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"jackdawhinge/common/peers"
 	"jackdawhinge/common/targets"
 	"jackdawhinge/common/upstream"
 	"jackdawhinge/jackdawd/internal/delivery"
@@ -82,9 +83,9 @@
 }
 
 // Fits reports whether the cost stays inside the load multiple.
-func (c counter) Fits(cost int64) bool {
+func (c counter) Fits(cost int64, urgency targets.Urgency) bool {
 	pool, ok := c.owner.views().Pool(c.model)
-	return !ok || c.owner.board.Fits(time.Now(), pool, c.at, cost)
+	return !ok || c.owner.board.Fits(time.Now(), pool, c.at, cost, urgency)
 }
 
 // Start counts the cost.
@@ -118,52 +119,102 @@
 	return requests, tokens, l.limit.Tokens()
 }
 
+// A Move says which upstream an item is moved to, if any, and how loaded the one was that it comes from.
+type Move struct {
+	To   string     `json:"to"`
+	Seen *peers.Row `json:"seen,omitempty"`
+}
+
 // Serve brings an item's answer from the upstream named to the sink, or returns
-// the name of the upstream that the item is moved to.
-func (o *Owner) Serve(ctx context.Context, item *work.Item, name string, attempt int, sink delivery.Sink) (elsewhere string, err error) {
+// the move to another upstream.
+func (o *Owner) Serve(ctx context.Context, item *work.Item, name string, attempt int, sink delivery.Sink) (Move, error) {
 	beginBy := time.Now().Add(item.BeginWithin)
+	o.mergeSeen(item)
 	pool, ok := o.views().Pool(item.Model)
 	if !ok {
-		return "", work.Refuse(http.StatusNotFound, work.UnknownModel, "there is no model %q", item.Model)
+		return Move{}, work.Refuse(http.StatusNotFound, work.UnknownModel, "there is no model %q", item.Model)
 	}
 	at, ok := pool.Find(name)
 	if !ok {
 		return first(pool, item.Chat)
 	}
-	cost := o.cost(item, pool)
-	placement, to := o.board.Place(time.Now(), pool, item.Chat, at, cost, attempt)
-	if placement == routing.Moved {
-		return to.Name(), nil
+	c := routing.Candidate{
+		Chat: item.Chat, At: at, Cost: o.cost(item, pool), Returning: item.Returning(), Urgency: item.Urgency, Attempt: attempt,
 	}
 	l := o.line(at, item.Model)
-	release, err := l.queue.Acquire(ctx, o.ticket(item, cost, beginBy))
+	move, release, err := o.admit(ctx, pool, c, l, o.ticket(item, c.Cost, beginBy))
 	if err != nil {
-		return "", refuseWaiting(err, item)
+		return Move{}, refuseWaiting(err, item)
+	}
+	if move.To != "" {
+		return move, nil
 	}
 	defer release()
-	if _, ok := o.current(item.Model, at); !ok {
+	if !o.serves(item.Model, at) {
 		// It waited while its upstream left; passing it on now would give a
 		// leaving upstream new work.
 		return first(pool, item.Chat)
 	}
-	return "", o.deliver(ctx, item, at, l.limit, sink)
+	return Move{}, o.deliver(ctx, item, at, l.limit, sink)
+}
+
+// mergeSeen takes in the loads that the item met where it was moved away. They
+// are exact and fresh: in a surge they tell of a rising mean before rows do.
+func (o *Owner) mergeSeen(item *work.Item) {
+	rows := make([]routing.Row, len(item.Seen))
+	for i, r := range item.Seen {
+		rows[i] = routing.Row(r)
+	}
+	o.board.Merge(time.Now(), rows)
+}
+
+// admit waits for room at the candidate's upstream, or returns a move.
+func (o *Owner) admit(ctx context.Context, pool *routing.Pool, c routing.Candidate, l *line, t queue.Ticket) (Move, func(), error) {
+	placement, to := o.board.Place(time.Now(), pool, c)
+	if placement == routing.Moved {
+		return o.move(c, to), nil, nil
+	}
+	release, err := o.acquire(ctx, l, t, placement)
+	if placement != routing.Linger || !errors.Is(err, queue.ErrTooLate) {
+		return Move{}, release, err
+	}
+	if placement, to = o.board.Move(time.Now(), pool, c); placement == routing.Moved {
+		return o.move(c, to), nil, nil
+	}
+	release, err = o.acquire(ctx, l, t, placement)
+	return Move{}, release, err
+}
+
+func (o *Owner) move(c routing.Candidate, to *routing.Upstream) Move {
+	row := peers.Row(o.board.Row(c.At))
+	return Move{To: to.Name(), Seen: &row}
+}
+
+// acquire waits for room; a request that lingers waits only part of its time.
+func (o *Owner) acquire(ctx context.Context, l *line, t queue.Ticket, placement routing.Placement) (release func(), err error) {
+	if placement == routing.Linger {
+		t.BeginBy = t.LingerUntil(time.Now())
+	}
+	return l.queue.Acquire(ctx, t)
 }
 
-func (o *Owner) current(model string, u *routing.Upstream) (*routing.Upstream, bool) {
+// serves reports whether the upstream still takes new work for a model.
+func (o *Owner) serves(model string, u *routing.Upstream) bool {
 	pool, ok := o.views().Pool(model)
 	if !ok {
-		return nil, false
+		return false
 	}
-	return pool.Find(u.Name())
+	_, ok = pool.Find(u.Name())
+	return ok
 }
 
 // first returns the chat's first choice, for a host whose list differed.
-func first(pool *routing.Pool, chat uint64) (string, error) {
+func first(pool *routing.Pool, chat uint64) (Move, error) {
 	ranked := pool.Rank(chat)
 	if len(ranked) == 0 {
-		return "", work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "no upstream serves %q", pool.Model()).Retry(retryWhenFull)
+		return Move{}, work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "no upstream serves %q", pool.Model()).Retry(retryWhenFull)
 	}
-	return ranked[0].Name(), nil
+	return Move{To: ranked[0].Name()}, nil
 }
 
 func refuseWaiting(err error, item *work.Item) error {
--- a/jackdawd/internal/node/loads.go
+++ b/jackdawd/internal/node/loads.go
@@ -19,7 +19,7 @@
 
 const (
 	// exchangeEvery is how often this host exchanges rows with one other owner.
-	exchangeEvery = time.Second
+	exchangeEvery = 500 * time.Millisecond
 	// pollEvery is how often this host reads the load that its upstreams report.
 	pollEvery    = 2 * time.Second
 	maxLoadBytes = 4 << 10
--- a/jackdawd/internal/node/services.go
+++ b/jackdawd/internal/node/services.go
@@ -144,15 +144,16 @@
 	return host, !ok || host.Name() == view.Self()
 }
 
-func toWire(rows []routing.Row) []peers.Row {
+func toWire(rows []routing.Row) peers.Rows {
 	out := make([]peers.Row, len(rows))
 	for i, r := range rows {
 		out[i] = peers.Row(r)
 	}
-	return out
+	return peers.Pack(out)
 }
 
-func fromWire(rows []peers.Row) []routing.Row {
+func fromWire(packed peers.Rows) []routing.Row {
+	rows := packed.Unpack()
 	out := make([]routing.Row, len(rows))
 	for i, r := range rows {
 		out[i] = routing.Row(r)
--- a/jackdawd/internal/queue/limit.go
+++ b/jackdawd/internal/queue/limit.go
@@ -11,8 +11,8 @@
 	// tokenGapTarget is the time between tokens that 95 in 100 must keep.
 	tokenGapTarget = 35 * time.Millisecond
 	lateShare      = 0.05
-	decrease       = 0.85
-	increase       = 1.05
+	decrease       = 0.93
+	increase       = 1.03
 	minSamples     = 20
 	// minLimitShare is the part of an upstream's capacity that a limit never falls below.
 	minLimitShare = 32
@@ -41,6 +41,11 @@
 	return l.tokens
 }
 
+// Capacity returns the most that the limit can be.
+func (l *Limit) Capacity() int64 {
+	return l.capacity
+}
+
 // Observe takes in the time between two tokens of an answer.
 func (l *Limit) Observe(now time.Time, gap time.Duration) {
 	l.mu.Lock()
--- a/jackdawd/internal/routing/board.go
+++ b/jackdawd/internal/routing/board.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"jackdawhinge/common/targets"
 )
 
 const (
@@ -21,6 +23,8 @@
 	// floorShare is the part of an upstream's capacity below which the load
 	// multiple does not bind: a nearly idle fleet has no skew worth a cold cache.
 	floorShare = 16
+	// headroom is the part of the mean that each lower urgency leaves free.
+	headroom = 0.03
 	// smoothing is the weight of the newest value in a moving average.
 	smoothing = 0.3
 )
@@ -118,6 +122,13 @@
 	l.foreign = max(0, resident-max(l.own, int64(l.smoothed)))
 }
 
+// Row returns the row of an upstream that this host owns.
+func (b *Board) Row(u *Upstream) Row {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Row{Upstream: u.hash, Load: b.load(u.hash).total()}
+}
+
 // Merge takes in rows of other owners; the newer of two rows wins.
 func (b *Board) Merge(now time.Time, rows []Row) {
 	b.mu.Lock()
@@ -172,44 +183,107 @@
 
 // The placements.
 const (
+	// Accept means that the request fits where it is.
 	Accept Placement = "accept"
-	Moved  Placement = "moved"
-	Wait   Placement = "wait"
+	// Moved means that the request is better placed elsewhere.
+	Moved Placement = "moved"
+	// Linger means that the request waits a little for its warm upstream and is moved only then.
+	Linger Placement = "linger"
+	// Wait means that the request waits here as long as its class allows.
+	Wait Placement = "wait"
 )
 
 // LastAttempt is the number of the attempt that is no longer moved but waits.
 const LastAttempt = 2
 
-// Place decides on a request for a chat at an upstream that this host owns:
-// it is accepted there, moved to the upstream returned, or waits for the load to fall.
-func (b *Board) Place(now time.Time, p *Pool, chat uint64, at *Upstream, cost int64, attempt int) (Placement, *Upstream) {
+// A Candidate is a request for a chat at an upstream that this host owns.
+type Candidate struct {
+	Chat      uint64
+	At        *Upstream
+	Cost      int64
+	Returning bool
+	Urgency   targets.Urgency
+	// Attempt counts how often the request has been moved.
+	Attempt int
+}
+
+// Place decides on a request: it is accepted, moved to the upstream returned,
+// lingers or waits for the load to fall.
+func (b *Board) Place(now time.Time, p *Pool, c Candidate) (Placement, *Upstream) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if attempt == 0 {
-		if to := b.moved(now, p, chat); to != nil && to != at {
+	if c.Attempt == 0 {
+		if to := b.moved(now, p, c.Chat); to != nil && to != c.At {
 			return Moved, to
 		}
 	}
-	bound := b.bound(now, p, at, cost)
-	if b.load(at.hash).total()+cost <= bound {
-		return Accept, at
+	load := b.load(c.At.hash).total()
+	if !c.Returning && c.Attempt == 0 {
+		// A new chat has no cache to lose, so it evens out the load before the bound does.
+		if to := b.lighter(now, p, c, load); to != nil {
+			b.remember(now, c, to)
+			return Moved, to
+		}
 	}
-	if attempt >= LastAttempt {
-		return Wait, at
+	switch {
+	case load+c.Cost <= b.bound(now, p, c.At, c.Cost, c.Urgency):
+		return Accept, c.At
+	case c.Attempt >= LastAttempt:
+		return Wait, c.At
+	case c.Returning:
+		return Linger, c.At
 	}
-	to := b.alternative(now, p, chat, at, cost, bound)
+	return b.move(now, p, c)
+}
+
+// Move moves a request that has lingered; it waits here if no other upstream is better.
+func (b *Board) Move(now time.Time, p *Pool, c Candidate) (Placement, *Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.move(now, p, c)
+}
+
+func (b *Board) move(now time.Time, p *Pool, c Candidate) (Placement, *Upstream) {
+	to := b.alternative(now, p, c)
 	if to == nil {
-		return Wait, at
+		return Wait, c.At
 	}
-	b.moves.Add(chat, move{upstream: to.hash, usedAt: now})
+	b.remember(now, c, to)
 	return Moved, to
 }
 
+// remember notes where a chat is moved to, and counts its tokens there until
+// the next row arrives: or else every request of the moment would see the same
+// light upstream and overrun it.
+func (b *Board) remember(now time.Time, c Candidate, to *Upstream) {
+	b.moves.Add(c.Chat, move{upstream: to.hash, usedAt: now})
+	if l := b.load(to.hash); !l.owned {
+		l.row += c.Cost
+	}
+}
+
+// lighter returns the least loaded of the chat's candidates if a new chat is
+// placed better there than at the one with the load given, which is above the mean.
+func (b *Board) lighter(now time.Time, p *Pool, c Candidate, load int64) *Upstream {
+	mean := b.mean(now, p)
+	if float64(load+c.Cost) <= mean || load+c.Cost <= c.At.capacity/floorShare {
+		return nil
+	}
+	var best *Upstream
+	bestLoad := min(load-c.Cost, int64(mean))
+	for _, u := range p.Rank(c.Chat) {
+		if l, ok := b.known(now, u); ok && u != c.At && l < bestLoad {
+			best, bestLoad = u, l
+		}
+	}
+	return best
+}
+
 // Fits reports whether a request's tokens stay inside the load multiple at an upstream that this host owns.
-func (b *Board) Fits(now time.Time, p *Pool, at *Upstream, cost int64) bool {
+func (b *Board) Fits(now time.Time, p *Pool, at *Upstream, cost int64, urgency targets.Urgency) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.load(at.hash).total()+cost <= b.bound(now, p, at, cost)
+	return b.load(at.hash).total()+cost <= b.bound(now, p, at, cost, urgency)
 }
 
 // Moves returns how many chats are remembered away from their first choice.
@@ -240,13 +314,14 @@
 }
 
 // bound returns the most tokens that an upstream may carry, the new request included.
-func (b *Board) bound(now time.Time, p *Pool, u *Upstream, cost int64) int64 {
+// Less urgent work stays a little below, so that urgent work finds room.
+func (b *Board) bound(now time.Time, p *Pool, u *Upstream, cost int64, urgency targets.Urgency) int64 {
 	if len(p.upstreams) < 2 {
 		return maxLoad
 	}
 	mean := b.mean(now, p) + float64(cost)/float64(len(p.upstreams))
 	// One request more than the mean must always fit, or small loads could not be placed at all.
-	return max(int64(p.multiple*mean), u.capacity/floorShare, cost)
+	return max(int64((p.multiple-headroom*float64(urgency.Rank()))*mean), u.capacity/floorShare, cost)
 }
 
 func (b *Board) mean(now time.Time, p *Pool) float64 {
@@ -267,18 +342,19 @@
 }
 
 // alternative returns the chat's best other candidate that has room, or else the
-// less loaded of two others drawn at random, or nil if neither has less load than at.
-func (b *Board) alternative(now time.Time, p *Pool, chat uint64, at *Upstream, cost, bound int64) *Upstream {
-	for _, u := range p.Rank(chat) {
-		if load, ok := b.known(now, u); u != at && ok && load+cost <= bound {
+// less loaded of two others drawn at random, or nil if neither has less load.
+func (b *Board) alternative(now time.Time, p *Pool, c Candidate) *Upstream {
+	bound := b.bound(now, p, c.At, c.Cost, c.Urgency)
+	for _, u := range p.Rank(c.Chat) {
+		if load, ok := b.known(now, u); u != c.At && ok && load+c.Cost <= bound {
 			return u
 		}
 	}
 	var best *Upstream
-	bestLoad := b.load(at.hash).total()
+	bestLoad := b.load(c.At.hash).total()
 	for range 2 {
 		u := p.upstreams[b.random.IntN(len(p.upstreams))]
-		if load, ok := b.known(now, u); u != at && ok && load < bestLoad {
+		if load, ok := b.known(now, u); u != c.At && ok && load < bestLoad {
 			best, bestLoad = u, load
 		}
 	}
--- a/jackdawd/internal/routing/view.go
+++ b/jackdawd/internal/routing/view.go
@@ -148,6 +148,8 @@
 	document targets.Document
 	pools    map[string]*Pool
 	hosts    []EntryHost
+	// owners holds each upstream's owner, so that a decision need not walk all hosts.
+	owners map[uint64]EntryHost
 }
 
 // ViewInput is what a view is made from.
@@ -182,6 +184,14 @@
 		v.pools[name] = NewPool(name, m, byModel[name])
 	}
 	slices.SortFunc(v.hosts, func(a, b EntryHost) int { return strings.Compare(a.name, b.name) })
+	v.owners = make(map[uint64]EntryHost)
+	for _, pool := range v.pools {
+		for _, u := range pool.upstreams {
+			if owner, ok := v.findOwner(u.hash, nil); ok {
+				v.owners[u.hash] = owner
+			}
+		}
+	}
 	return v
 }
 
@@ -235,6 +245,15 @@
 // Owner returns the entry host that counts an upstream's load, by rendezvous
 // hashing over the entry hosts other than those excluded; false if there is none.
 func (v *View) Owner(key uint64, exclude ...string) (EntryHost, bool) {
+	if len(exclude) == 0 {
+		if owner, ok := v.owners[key]; ok {
+			return owner, true
+		}
+	}
+	return v.findOwner(key, exclude)
+}
+
+func (v *View) findOwner(key uint64, exclude []string) (EntryHost, bool) {
 	var best EntryHost
 	bestScore := uint64(0)
 	found := false
--- a/jackdawd/internal/work/item.go
+++ b/jackdawd/internal/work/item.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"jackdawhinge/common/peers"
 	"jackdawhinge/common/targets"
 	"jackdawhinge/common/upstream"
 )
@@ -35,6 +36,8 @@
 	Urgency    targets.Urgency            `json:"urgency"`
 	// BeginWithin is what is left of the class's target when the item is passed on.
 	BeginWithin time.Duration `json:"begin-within"`
+	// Seen holds the loads of the upstreams that the item was moved away from.
+	Seen []peers.Row `json:"seen,omitempty"`
 }
 
 // Returning reports whether the chat has had an answer before.
