--- a/jackdawd/internal/ledger/partition.go
+++ b/jackdawd/internal/ledger/partition.go
@@ -82,11 +82,9 @@
 	if !p.awaitCaughtUp(ctx) {
 		return peers.ClaimReply{State: peers.Unready}, nil
 	}
-	if reply, known := p.state(args); known {
-		return reply, nil
-	}
-	if err := p.enqueue(Record{Kind: ClaimRecord, Claim: args.Claim, Key: args.Key, Body: args.Body}); err != nil {
-		return peers.ClaimReply{}, err
+	reply, known, err := p.claim(args)
+	if known || err != nil {
+		return reply, err
 	}
 	for {
 		changed := p.change()
@@ -101,12 +99,26 @@
 	}
 }
 
+// claim returns the key's state, or enqueues a claim if the key is free. Both
+// happen under one lock: what the claim says it has seen is what was looked at.
+func (p *Partition) claim(args peers.ClaimArgs) (reply peers.ClaimReply, known bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if reply, known := p.fold.State(time.Now(), args); known {
+		return reply, true, nil
+	}
+	r := Record{Kind: ClaimRecord, Claim: args.Claim, Key: args.Key, Body: args.Body, Seen: p.fold.Next()}
+	return peers.ClaimReply{}, false, p.enqueue(r)
+}
+
 // End appends the end of a claim: its void or its outcome.
 func (p *Partition) End(args peers.CloseArgs) error {
 	r := Record{Kind: OutcomeRecord, Claim: args.Claim, Key: args.Key, Body: args.Body, State: args.State, Answer: args.Answer}
 	if args.Void {
 		r.Kind, r.State = VoidRecord, ""
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.enqueue(r)
 }
 
@@ -141,14 +153,13 @@
 	return p.changed
 }
 
+// enqueue adds a record to those that wait to be appended; the lock is held.
 func (p *Partition) enqueue(r Record) error {
 	data, err := r.Encode()
 	if err != nil {
 		return err
 	}
-	p.mu.Lock()
 	p.pending = append(p.pending, data)
-	p.mu.Unlock()
 	select {
 	case p.wake <- struct{}{}:
 	default:
--- a/jackdawd/internal/ledger/record.go
+++ b/jackdawd/internal/ledger/record.go
@@ -26,11 +26,13 @@
 
 // A Record is one record of a claim stream.
 type Record struct {
-	Format int              `json:"format"`
-	Kind   RecordKind       `json:"kind"`
-	Claim  string           `json:"claim"`
-	Key    string           `json:"key"`
-	Body   string           `json:"body,omitempty"`
+	Format int        `json:"format"`
+	Kind   RecordKind `json:"kind"`
+	Claim  string     `json:"claim"`
+	Key    string     `json:"key"`
+	Body   string     `json:"body,omitempty"`
+	// Seen is how far the claimant's host had read when it found the key free.
+	Seen   int64            `json:"seen,omitempty"`
 	State  peers.ClaimState `json:"state,omitempty"`
 	Answer []byte           `json:"answer,omitempty"`
 }
