--- a/jackdawd/internal/delivery/stream.go
+++ b/jackdawd/internal/delivery/stream.go
@@ -107,15 +107,32 @@
 	idleConnTimeout = 90 * time.Second
 )
 
+// An Option changes how a client connects.
+type Option func(*http.Transport)
+
+// WithDial makes a client connect by the function given.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(t *http.Transport) { t.DialContext = dial }
+}
+
 // NewClient returns a client that keeps a few idle connections to each address.
-func NewClient() *Client {
+func NewClient(options ...Option) *Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}}}
+	}
+	for _, option := range options {
+		option(transport)
+	}
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// Close closes the connections that are idle.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
 }
 
 // Do sends a request; no redirect is followed and no failure repeated.
--- /dev/null
+++ b/jackdawd/internal/dispatch/fleet_test.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/common/roster"
+	"jackdawhinge/common/targets"
+	"jackdawhinge/common/upstream"
+	"jackdawhinge/jackdawd/internal/delivery"
+	"jackdawhinge/jackdawd/internal/routing"
+	"jackdawhinge/jackdawd/internal/work"
+	"jackdawhinge/standin/engine"
+)
+
+const (
+	testModel  = "reader"
+	testSecret = "secret-of-the-fleet"
+)
+
+// network is connections in memory, so that tests run on the paused clock.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+type listener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	mu    sync.Mutex
+	open  []net.Conn
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error   { return nil }
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (n *network) dial(_ context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l, ok := n.listeners[address]
+	n.mu.Unlock()
+	if !ok {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	near, far := net.Pipe()
+	l.mu.Lock()
+	l.open = append(l.open, near, far)
+	l.mu.Unlock()
+	l.conns <- far
+	return near, nil
+}
+
+func (n *network) serve(address string, h http.Handler) {
+	l := &listener{conns: make(chan net.Conn), done: make(chan struct{})}
+	n.mu.Lock()
+	n.listeners[address] = l
+	n.mu.Unlock()
+	go func() { _ = http.Serve(l, h) }()
+}
+
+// kill makes an address refuse connections and cuts those it has.
+func (n *network) kill(address string) {
+	n.mu.Lock()
+	l, ok := n.listeners[address]
+	delete(n.listeners, address)
+	n.mu.Unlock()
+	if !ok {
+		return
+	}
+	close(l.done)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.open {
+		_ = c.Close()
+	}
+}
+
+type noEvidence struct{}
+
+func (noEvidence) Observe(string, bool) {}
+
+// fleet is a few entry hosts and engines on a network in memory.
+type fleet struct {
+	net     *network
+	view    map[string]*routing.View
+	routers map[string]*Router
+	owners  map[string]*Owner
+	engines map[string]*engine.Engine
+	clients []*delivery.Client
+}
+
+// newFleet returns a fleet whose engines answer with a word each 3 ms; handlers replace engines by name.
+func newFleet(hosts, engines int, handlers map[string]http.Handler) *fleet {
+	f := &fleet{
+		net: &network{listeners: map[string]*listener{}}, view: map[string]*routing.View{}, routers: map[string]*Router{},
+		owners: map[string]*Owner{}, engines: map[string]*engine.Engine{},
+	}
+	var list []roster.Host
+	for i := range engines {
+		name := fmt.Sprintf("engine-%d", i)
+		e := engine.New(name, 3*time.Millisecond, 100_000)
+		f.engines[name] = e
+		handler := e.Handler()
+		if h, ok := handlers[name]; ok {
+			handler = h
+		}
+		f.net.serve(name+":1", handler)
+		list = append(list, roster.Host{
+			Name: name, Role: roster.Upstream, State: roster.Live, FailureDomain: "r/a", Address: name + ":1", Models: []string{testModel}, Capacity: 100_000,
+		})
+	}
+	for i := range hosts {
+		name := fmt.Sprintf("entry-%d", i)
+		list = append(list, roster.Host{Name: name, Role: roster.EntryHost, State: roster.Live, FailureDomain: "r/a", Address: name + ":1"})
+	}
+	for i := range hosts {
+		f.addHost(fmt.Sprintf("entry-%d", i), list, uint64(i))
+	}
+	return f
+}
+
+func (f *fleet) addHost(name string, list []roster.Host, seed uint64) {
+	f.view[name] = routing.NewView(routing.ViewInput{
+		Self: name, Region: "r", Hosts: list,
+		Document: targets.Document{
+			Classes: map[string]targets.Class{"portal": {FirstTokenWithin: targets.Duration(time.Second), Share: 0.5, Urgency: targets.Normal}},
+			Models:  map[string]targets.Model{testModel: {Kind: targets.Engine}},
+		},
+	})
+	views := func() *routing.View { return f.view[name] }
+	client := delivery.NewClient(delivery.WithDial(f.net.dial))
+	board := routing.NewBoard(rand.NewPCG(seed, 1))
+	board.Own(func(u *routing.Upstream) bool {
+		owner, _ := f.view[name].Owner(u.Hash())
+		return owner.Name() == name
+	}, f.view[name].Pools())
+	owner := NewOwner(views, board, client, noEvidence{})
+	f.clients = append(f.clients, client)
+	f.owners[name] = owner
+	f.routers[name] = NewRouter(views, owner, NewHTTPPeer(client, testSecret), client, noEvidence{})
+	f.net.serve(name+":1", PeerHandler(owner, testSecret))
+}
+
+func (f *fleet) close() {
+	for _, c := range f.clients {
+		c.Close()
+	}
+	for name := range f.routers {
+		f.net.kill(name + ":1")
+	}
+	for name := range f.engines {
+		f.net.kill(name + ":1")
+	}
+	// Engines keep finished answers for a while.
+	time.Sleep(time.Minute)
+}
+
+func newItem(chat uint64, tokens int) *work.Item {
+	return &work.Item{
+		ID: fmt.Sprintf("request-%d", chat), Workspace: "mailroom", Class: "portal", Chat: chat, Model: testModel, Idempotent: true,
+		Messages: []upstream.Message{{Role: "user", Content: "sort this"}}, MaxTokens: tokens, Urgency: targets.Normal, BeginWithin: time.Second,
+	}
+}
+
+// first returns the chat's first engine and the host that owns it.
+func (f *fleet) first(item *work.Item) (engineName, owner string) {
+	view := f.view["entry-0"]
+	pool, _ := view.Pool(testModel)
+	u := pool.Rank(item.Chat)[0]
+	host, _ := view.Owner(u.Hash())
+	return u.Name(), host.Name()
+}
+
+// itemOwnedElsewhere returns an item that entry-0 passes on to another host.
+func (f *fleet) itemOwnedElsewhere(tokens int) *work.Item {
+	for chat := uint64(1); ; chat++ {
+		if _, owner := f.first(newItem(chat, tokens)); owner != "entry-0" {
+			return newItem(chat, tokens)
+		}
+	}
+}
+
+// answer routes an item from entry-0 and returns its text; at is called before each frame is taken.
+func (f *fleet) answer(ctx context.Context, item *work.Item, at func(position int)) (string, error) {
+	var text strings.Builder
+	err := f.routers["entry-0"].Route(ctx, item, func(frame upstream.Frame) error {
+		if at != nil {
+			at(frame.Position)
+		}
+		text.WriteString(frame.Text)
+		return nil
+	})
+	return text.String(), err
+}
+
+func outcome(t *testing.T, err error) work.Outcome {
+	t.Helper()
+	var refusal *work.Refusal
+	require.ErrorAs(t, err, &refusal)
+	return refusal.Outcome
+}
+
+func run(t *testing.T, hosts, engines int, handlers map[string]http.Handler, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(hosts, engines, handlers)
+		defer f.close()
+		test(t, f)
+	})
+}
+
+func words(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "w%d ", i)
+	}
+	return b.String()
+}
+
+func encodeFrame(w http.ResponseWriter, f upstream.Frame) {
+	_ = json.NewEncoder(w).Encode(f)
+	w.(http.Flusher).Flush()
+}
--- a/jackdawd/internal/dispatch/owner.go
+++ b/jackdawd/internal/dispatch/owner.go
@@ -29,10 +29,16 @@
 const (
 	// stallTimeout is how long an answer may pause before its connection counts as broken.
 	stallTimeout = 5 * time.Second
-	// firstFrameTimeout is how long an upstream may take until its first frame.
+	// An upstream may take this many times its class's target until its first
+	// frame, within bounds that leave room for long prompts.
+	firstFrameFactor  = 4
+	minFirstFrame     = 5 * time.Second
 	firstFrameTimeout = 30 * time.Second
 	maxResumes        = 3
-	resumeBackoff     = 50 * time.Millisecond
+	// maxEmptyResumes is how often an answer without any frame is asked for again:
+	// once, to tell a broken connection from an upstream that hangs.
+	maxEmptyResumes = 1
+	resumeBackoff   = 50 * time.Millisecond
 	// unknownCapacity stands for an upstream whose capacity the host list does not give.
 	unknownCapacity = 1 << 40
 	maxServiceBytes = 8 << 20
@@ -291,7 +297,8 @@
 	if err != nil {
 		return work.Refuse(http.StatusBadRequest, work.BadRequest, "the request cannot be encoded")
 	}
-	err = o.exchange(ctx, http.MethodPost, u, upstream.GeneratePath, body, item.ID, p, sink)
+	first := min(max(firstFrameFactor*item.Target, minFirstFrame), firstFrameTimeout)
+	err = o.exchange(ctx, http.MethodPost, u, upstream.GeneratePath, body, first, p, sink)
 	if delivery.NeverSent(err) {
 		o.observer.Observe(u.Name(), false)
 		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "upstream %s cannot be reached", u.Name()).Retry(retryWhenFull)
@@ -314,13 +321,13 @@
 		if errors.As(err, &refused) {
 			return refused
 		}
-		if try == maxResumes {
+		if try == maxResumes || (p.Next == 0 && try == maxEmptyResumes) {
 			o.observer.Observe(u.Name(), false)
 			return work.Uncertain(work.UpstreamFailed, "upstream %s broke off at position %d: %v", u.Name(), p.Next, err)
 		}
 		wait(ctx, resumeBackoff<<try)
 		path := upstream.RequestsPath + p.ID + "?from=" + strconv.Itoa(p.Next)
-		err = o.exchange(ctx, http.MethodGet, u, path, nil, p.ID, p, sink)
+		err = o.exchange(ctx, http.MethodGet, u, path, nil, stallTimeout, p, sink)
 	}
 	o.observer.Observe(u.Name(), true)
 	return nil
@@ -336,10 +343,10 @@
 }
 
 // exchange makes one HTTP call and copies the frames of its answer.
-func (o *Owner) exchange(ctx context.Context, method string, u *routing.Upstream, path string, body []byte, id string, p *delivery.Progress, sink delivery.Sink) error {
-	ctx, watch := watchStall(ctx, firstFrameTimeout)
+func (o *Owner) exchange(ctx context.Context, method string, u *routing.Upstream, path string, body []byte, first time.Duration, p *delivery.Progress, sink delivery.Sink) error {
+	ctx, watch := watchStall(ctx, first)
 	defer watch.stop()
-	resp, err := o.send(ctx, method, u, path, body, id)
+	resp, err := o.send(ctx, method, u, path, body, p.ID)
 	if err != nil {
 		return err
 	}
--- a/jackdawd/internal/dispatch/router.go
+++ b/jackdawd/internal/dispatch/router.go
@@ -60,6 +60,8 @@
 	failed   []string
 	excluded []string
 	beginBy  time.Time
+	// mayHaveRun is set once an upstream may have executed the item.
+	mayHaveRun bool
 }
 
 // Route brings an item's answer to the sink; the error is always a *work.Refusal.
@@ -80,9 +82,21 @@
 	}
 	err := j.run(ctx)
 	if ctx.Err() != nil && err != nil {
-		j.cancelUpstream()
+		j.cancelAt(j.name)
 	}
-	return err
+	return j.honest(err)
+}
+
+// honest returns the error with an outcome that holds for all tries together: a
+// last try that was not run proves nothing about an earlier one that hung.
+func (j *journey) honest(err error) error {
+	var refusal *work.Refusal
+	if !errors.As(err, &refusal) || refusal.Outcome != work.NotRun || !j.mayHaveRun {
+		return err
+	}
+	uncertain := *refusal
+	uncertain.Outcome = work.Unknown
+	return &uncertain
 }
 
 // choose sets the chat's best candidate that has not failed, and reports whether there is one.
@@ -215,6 +229,7 @@
 	if !errors.As(err, &refusal) {
 		refusal = work.Uncertain(work.UpstreamFailed, "the answer broke off: %v", err)
 	}
+	j.mayHaveRun = j.mayHaveRun || refusal.Outcome != work.NotRun
 	if ctx.Err() != nil {
 		return false, refusal
 	}
@@ -227,8 +242,14 @@
 	if !j.repeatable(refusal) || !j.budget.Spend() {
 		return false, refusal
 	}
+	if refusal.Outcome != work.NotRun {
+		// Should the upstream wake, it need not work on for nobody.
+		go j.cancelAt(j.name)
+	}
 	j.failed = append(j.failed, j.name)
 	j.attempt = 0
+	// The target is missed already; an answer now is still better than none.
+	j.beginBy = time.Now().Add(j.item.BeginWithin)
 	logrus.WithFields(logrus.Fields{"request": j.item.ID, "upstream": j.name, "code": refusal.Code}).Info("dispatch: Retrying on another upstream.")
 	return j.choose(), refusal
 }
@@ -269,13 +290,13 @@
 	return j.owner.Resume(ctx, u, &j.progress, j.sink)
 }
 
-// cancelUpstream frees the upstream of work whose caller has left.
-func (j *journey) cancelUpstream() {
-	u, ok := j.pool.Find(j.name)
+// cancelAt frees an upstream of work that nobody waits for.
+func (j *journey) cancelAt(name string) {
+	u, ok := j.pool.Find(name)
 	if !ok || j.item.Service != nil {
 		return
 	}
 	if err := j.client.Cancel(u.Address(), j.item.ID); err != nil {
-		logrus.WithError(err).WithField("request", j.item.ID).Warn("dispatch: The upstream was not told that the caller left.")
+		logrus.WithError(err).WithField("request", j.item.ID).Warn("dispatch: The upstream was not told to stop.")
 	}
 }
--- a/jackdawd/internal/intake/handler.go
+++ b/jackdawd/internal/intake/handler.go
@@ -112,6 +112,7 @@
 		Model:       model,
 		Idempotent:  c.target.Idempotent,
 		Urgency:     c.target.Urgency,
+		Target:      time.Duration(c.target.FirstTokenWithin),
 		BeginWithin: time.Duration(c.target.FirstTokenWithin),
 	}
 }
--- a/jackdawd/internal/ledger/keeper.go
+++ b/jackdawd/internal/ledger/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -29,8 +30,12 @@
 	journal Journal
 	mu      sync.Mutex
 	parts   map[uint64]*Partition
+	closed  bool
 }
 
+// ErrClosed says that this host is stopping and takes in no more ends of claims.
+var ErrClosed = errors.New("ledger is closed")
+
 // NewKeeper returns a keeper without partitions.
 func NewKeeper(j Journal) *Keeper {
 	return &Keeper{journal: j, parts: map[uint64]*Partition{}}
@@ -38,12 +43,20 @@
 
 // Claim claims a key in its partition.
 func (k *Keeper) Claim(ctx context.Context, args peers.ClaimArgs) (peers.ClaimReply, error) {
-	return k.partition(args.Key).Claim(ctx, args)
+	p, ok := k.open(PartitionOf(args.Key))
+	if !ok {
+		return peers.ClaimReply{State: peers.Unready}, nil
+	}
+	return p.Claim(ctx, args)
 }
 
 // End ends a claim in its key's partition.
 func (k *Keeper) End(args peers.CloseArgs) error {
-	return k.partition(args.Key).End(args)
+	p, ok := k.open(PartitionOf(args.Key))
+	if !ok {
+		return fmt.Errorf("end claim %s: %w", args.Claim, ErrClosed)
+	}
+	return p.End(args)
 }
 
 // Warm starts to read the partitions that this host owns, before the first claim asks for them.
@@ -59,19 +72,20 @@
 func (k *Keeper) Close() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.closed = true
 	for n, p := range k.parts {
 		p.Close()
 		delete(k.parts, n)
 	}
 }
 
-func (k *Keeper) partition(key string) *Partition {
-	return k.open(PartitionOf(key))
-}
-
-func (k *Keeper) open(n uint64) *Partition {
+// open returns a partition, or false if the keeper is closed.
+func (k *Keeper) open(n uint64) (*Partition, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.closed {
+		return nil, false
+	}
 	for other, p := range k.parts {
 		if other != n && time.Since(p.IdleSince()) > partitionIdle {
 			p.Close()
@@ -83,5 +97,5 @@
 		p = NewPartition(k.journal, fmt.Sprintf("claims-%02d", n))
 		k.parts[n] = p
 	}
-	return p
+	return p, true
 }
--- a/jackdawd/internal/work/item.go
+++ b/jackdawd/internal/work/item.go
@@ -34,6 +34,8 @@
 	Service    *ServiceCall               `json:"service,omitempty"`
 	Idempotent bool                       `json:"idempotent"`
 	Urgency    targets.Urgency            `json:"urgency"`
+	// Target is how soon the class's answers begin.
+	Target time.Duration `json:"target"`
 	// BeginWithin is what is left of the class's target when the item is passed on.
 	BeginWithin time.Duration `json:"begin-within"`
 	// Seen holds the loads of the upstreams that the item was moved away from.
--- a/standin/platform/log.go
+++ b/standin/platform/log.go
@@ -55,10 +55,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
+	end := s.next()
 	for len(s.records) > 0 && s.records[0].Offset < below {
 		s.records = s.records[1:]
 	}
-	s.earliest = max(s.earliest, min(below, s.next()))
+	s.earliest = max(s.earliest, min(below, end))
 }
 
 // Append adds records to a stream and returns the offset of the first.
