--- a/common/peers/client.go
+++ b/common/peers/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
@@ -47,7 +48,8 @@
 	if err == nil {
 		return nil
 	}
-	if _, answered := err.(rpc.ServerError); !answered {
+	var answered rpc.ServerError
+	if !errors.As(err, &answered) {
 		// The connection may be dead; a paused host would hold every later call too.
 		c.drop(address, conn)
 	}
--- a/jackdaw/internal/cmd/targetsapplycmd.go
+++ b/jackdaw/internal/cmd/targetsapplycmd.go
@@ -113,9 +113,7 @@
 // refused reports a change that was not accepted, with what the log holds for its entries now.
 func (c *config) refused(out io.Writer, d register.Decision, state register.State, patch register.Patch) error {
 	result := applied{Decision: d}
-	for _, line := range diff(state.Document, patch) {
-		result.Current = append(result.Current, line)
-	}
+	result.Current = diff(state.Document, patch)
 	err := c.print(out, result, func(w io.Writer) error {
 		_, err := fmt.Fprintf(w, "%s\n%s\n", d.Reason, strings.Join(result.Current, "\n"))
 		return err
--- a/jackdaw/internal/publish/force.go
+++ b/jackdaw/internal/publish/force.go
@@ -38,13 +38,15 @@
 	if err != nil {
 		return Spread{}, err
 	}
-	for {
-		spread := ask(ctx, hosts.Hosts, caller, revision)
-		if len(spread.Lagging) == 0 || ctx.Err() != nil {
-			return spread, nil
+	var spread Spread
+	for ctx.Err() == nil {
+		spread = ask(ctx, hosts.Hosts, caller, revision)
+		if len(spread.Lagging) == 0 {
+			break
 		}
 		sleep(ctx, askEvery)
 	}
+	return spread, nil
 }
 
 func ask(ctx context.Context, hosts []roster.Host, caller Caller, revision int64) Spread {
--- a/jackdawd/internal/ledger/partition.go
+++ b/jackdawd/internal/ledger/partition.go
@@ -45,6 +45,8 @@
 	fold    *Fold
 	caught  bool
 	down    bool
+	// refused is set while the last append failed.
+	refused bool
 	changed chan struct{}
 	pending []json.RawMessage
 	wake    chan struct{}
@@ -128,7 +130,7 @@
 	for {
 		p.mu.Lock()
 		p.usedAt = time.Now()
-		caught, down, changed := p.caught, p.down || len(p.pending) >= maxPending, p.changed
+		caught, down, changed := p.caught, p.down || p.refused || len(p.pending) >= maxPending, p.changed
 		p.mu.Unlock()
 		if caught || down {
 			return caught && !down
@@ -187,6 +189,7 @@
 func (p *Partition) appendBatch(ctx context.Context, batch []json.RawMessage) {
 	for ctx.Err() == nil {
 		_, err := p.journal.Append(ctx, p.stream, batch...)
+		p.setRefused(err != nil)
 		if err == nil {
 			return
 		}
@@ -195,6 +198,12 @@
 	}
 }
 
+func (p *Partition) setRefused(refused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused = refused
+}
+
 func (p *Partition) take() []json.RawMessage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/jackdawd/main.go
+++ b/jackdawd/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"jackdawhinge/jackdawd/internal/cmd"
+	"jackdawhinge/jackdawd/command"
 )
 
 func main() {
-	os.Exit(cmd.Main())
+	os.Exit(command.Main())
 }
--- /dev/null
+++ b/standin/command/doc.go
@@ -0,0 +1,3 @@
+// Package command is the entry point of the program, for its main function and
+// for scenarios that run it.
+package command
--- a/standin/main.go
+++ b/standin/main.go
@@ -4,9 +4,9 @@
 import (
 	"os"
 
-	"jackdawhinge/standin/internal/cmd"
+	"jackdawhinge/standin/command"
 )
 
 func main() {
-	os.Exit(cmd.Main())
+	os.Exit(command.Main())
 }
