--- a/common/register/fold_test.go
+++ b/common/register/fold_test.go
@@ -69,12 +69,15 @@
 	for name, steps := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := NewFold()
+			distinct := map[string]bool{}
 			for i, s := range steps {
+				distinct[s.id] = true
 				require.NoError(t, f.Add(journal.Record{Offset: int64(i), Data: change(t, s.id, s.base, s.patch)}))
 				d, ok := f.State().Decision(s.id)
 				require.True(t, ok)
 				require.Equal(t, s.want, d.Verdict, "%s: %s", s.id, d.Reason)
 			}
+			require.Len(t, f.State().Decisions, len(distinct))
 		})
 	}
 }
@@ -108,6 +111,15 @@
 	require.Equal(t, full.State(), late.State())
 }
 
+// A faulty peer offers a state that claims to be further and holds an older
+// revision. It is refused: what is in force never reverts.
+func TestInstallNeverReverts(t *testing.T) {
+	f := NewFold()
+	require.NoError(t, f.Add(journal.Record{Offset: 0, Data: change(t, "a", 0, classes("portal", class(0.1)))}))
+	require.False(t, f.Install(Checkpoint{Through: 10, State: NewState()}))
+	require.EqualValues(t, 1, f.State().Revision)
+}
+
 // Readers read the same stream in pieces, restart, lose their place to retention
 // and take states from each other. The revision in force on each never falls, and
 // readers at the same place hold the same state. Steps as in spec/config.pml.
--- a/jackdawd/internal/dispatch/router_test.go
+++ b/jackdawd/internal/dispatch/router_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"jackdawhinge/common/peers"
 	"jackdawhinge/common/roster"
 	"jackdawhinge/common/upstream"
 	"jackdawhinge/jackdawd/internal/routing"
@@ -216,6 +218,60 @@
 	})
 }
 
+// A request waits for a full engine, and the engine is marked as leaving meanwhile.
+// When room comes, the caller is answered by another: a leaving engine gets no new work.
+func TestEngineLeavesWhileRequestWaits(t *testing.T) {
+	run(t, 1, 2, nil, func(t *testing.T, f *fleet) {
+		first := newItem(1, 2000)
+		first.Messages[0].Content = strings.Repeat("x", 400_000)
+		name, _ := f.first(first)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = f.answer(t.Context(), first, nil)
+		}()
+		synctest.Wait()
+		second := newItem(2, 5)
+		for at := ""; at != name; at, _ = f.first(second) {
+			second = newItem(second.Chat+1, 5)
+		}
+		second.BeginWithin, second.Target = time.Minute, time.Minute
+		second.Messages = append(second.Messages, second.Messages[0])
+		answered := make(chan error, 1)
+		go func() {
+			_, err := f.answer(t.Context(), second, nil)
+			answered <- err
+		}()
+		synctest.Wait()
+		f.view["entry-0"] = without(f.view["entry-0"], name)
+		require.NoError(t, <-answered)
+		<-done
+		require.EqualValues(t, 1, f.engines[name].Started())
+	})
+}
+
+// An item was moved away from an engine. The next owner takes in the load that it
+// met there, which is newer than any row.
+func TestOwnerTakesInSeenLoads(t *testing.T) {
+	run(t, 2, 3, nil, func(t *testing.T, f *fleet) {
+		item := f.itemOwnedElsewhere(5)
+		name, owner := f.first(item)
+		pool, _ := f.view[owner].Pool(testModel)
+		var far *routing.Upstream
+		for _, u := range pool.Upstreams() {
+			if host, _ := f.view[owner].Owner(u.Hash()); host.Name() != owner {
+				far = u
+			}
+		}
+		item.Seen = []peers.Row{{Upstream: far.Hash(), Load: 77_000}}
+		_, err := f.owners[owner].Serve(t.Context(), item, name, 1, func(upstream.Frame) error { return nil })
+		require.NoError(t, err)
+		load, known := f.owners[owner].board.Load(time.Now(), far)
+		require.True(t, known)
+		require.EqualValues(t, 77_000, load)
+	})
+}
+
 // without returns a view whose list has an engine as leaving.
 func without(v *routing.View, name string) *routing.View {
 	var list []roster.Host
--- a/jackdawd/internal/ledger/fold_test.go
+++ b/jackdawd/internal/ledger/fold_test.go
@@ -162,6 +162,51 @@
 	})
 }
 
+// Claim b lost to a, a was voided, c was made after. One reader began before
+// retention removed a, another after: for it b looks like the first. Both must grant
+// c and neither b, or the two claimants would both execute; and both hold the key
+// against a new claim.
+func TestReadersWithDifferentBeginnings(t *testing.T) {
+	records := []Record{
+		{Kind: ClaimRecord, Claim: "a", Key: "key", Body: "body"},
+		{Kind: ClaimRecord, Claim: "b", Key: "key", Body: "body"},
+		{Kind: VoidRecord, Claim: "a", Key: "key"},
+		{Kind: ClaimRecord, Claim: "c", Key: "key", Body: "body", Seen: 3},
+	}
+	for name, beginning := range map[string]int64{"before the trim": 0, "after the trim": 1} {
+		t.Run(name, func(t *testing.T) {
+			f := NewFold()
+			f.Trim(beginning)
+			for i, r := range records[beginning:] {
+				data, err := r.Encode()
+				require.NoError(t, err)
+				require.NoError(t, f.Add(time.Time{}, journal.Record{Offset: beginning + int64(i), Data: data}))
+			}
+			want := map[string]peers.ClaimState{"b": peers.Running, "c": peers.Granted, "new": peers.Running}
+			for claim, state := range want {
+				reply, known := f.State(time.Time{}, peers.ClaimArgs{Claim: claim, Key: "key", Body: "body"})
+				require.True(t, known)
+				require.Equal(t, state, reply.State, claim)
+			}
+		})
+	}
+}
+
+// A reader began after claims that a claim's host had seen. It cannot judge that
+// claim, so it holds the key against others and does not let the claim execute.
+func TestUnjudgedClaimBlocksKey(t *testing.T) {
+	f := NewFold()
+	f.Trim(5)
+	data, err := Record{Kind: ClaimRecord, Claim: "a", Key: "key", Body: "body", Seen: 4}.Encode()
+	require.NoError(t, err)
+	require.NoError(t, f.Add(time.Time{}, journal.Record{Offset: 5, Data: data}))
+	for _, claim := range []string{"a", "new"} {
+		reply, known := f.State(time.Time{}, peers.ClaimArgs{Claim: claim, Key: "key", Body: "body"})
+		require.True(t, known)
+		require.Equal(t, peers.Running, reply.State)
+	}
+}
+
 func FuzzDecodeRecord(f *testing.F) {
 	f.Add([]byte(`{"format":1,"kind":"claim","claim":"c","key":"k","body":"b","seen":3}`))
 	f.Add([]byte(`{"format":1,"kind":"outcome","claim":"c","key":"k","state":"finished"}`))
--- a/jackdawd/internal/queue/queue_test.go
+++ b/jackdawd/internal/queue/queue_test.go
@@ -142,6 +142,27 @@
 	require.EqualValues(t, 32_000, l.Tokens())
 }
 
+// An engine's limit has just been lowered below what is in progress. Urgent work
+// inside its share is passed on all the same, up to the engine's capacity; other
+// work waits for the rest to drain.
+func TestUrgentPassesLoweredLimit(t *testing.T) {
+	limit := NewLimit(100)
+	limit.tokens = 50
+	line := NewLine(limit, unbounded{}, func(*Waiter) {})
+	big := ticket("digest", targets.Batch, 0, "a")
+	big.Cost = 80
+	w, err := line.Enter(time.Now(), big)
+	require.NoError(t, err)
+	require.True(t, w.Released())
+	normal, err := line.Enter(time.Now(), ticket("portal", targets.Normal, 0.5, "a"))
+	require.NoError(t, err)
+	require.False(t, normal.Released())
+	line.Leave(normal)
+	urgent, err := line.Enter(time.Now(), ticket("clerk-tag", targets.Urgent, 0.5, "a"))
+	require.NoError(t, err)
+	require.True(t, urgent.Released())
+}
+
 // Whatever enters, leaves and ends, the tokens in progress are inside the limit
 // or one request alone, and in the end nothing waits.
 func TestLineKeepsLimit(t *testing.T) {
