--- a/common/journal/record.go
+++ b/common/journal/record.go
@@ -12,6 +12,9 @@
 // ErrUnavailable says that the log service could not be asked, so that nothing is known of the call's effect.
 var ErrUnavailable = errors.New("log service unavailable")
 
+// ErrNewerFormat says that a record was written by a newer version of a program.
+var ErrNewerFormat = errors.New("record is of a newer format")
+
 // A Record is one entry of a stream, at the offset the log service gave it.
 type Record struct {
 	Offset int64           `json:"offset"`
--- /dev/null
+++ b/common/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time or for a context's end.
+package pause
--- a/jackdaw/internal/cmd/targetsshowcmd.go
+++ b/jackdaw/internal/cmd/targetsshowcmd.go
@@ -1,12 +1,14 @@
 package cmd
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 
 	"github.com/spf13/cobra"
 
+	"jackdawhinge/common/register"
 	"jackdawhinge/common/targets"
 )
 
@@ -22,11 +24,7 @@
 		Short: "Show the configuration that the log holds",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := c.settings()
-			if err != nil {
-				return err
-			}
-			_, state, err := openConfiguration(cmd.Context(), s)
+			state, err := c.configuration(cmd.Context())
 			if err != nil {
 				return err
 			}
@@ -37,17 +35,23 @@
 	}
 }
 
+// configuration returns the configuration that the log holds.
+func (c *config) configuration(ctx context.Context) (register.State, error) {
+	s, err := c.settings()
+	if err != nil {
+		return register.State{}, err
+	}
+	_, state, err := openConfiguration(ctx, s)
+	return state, err
+}
+
 func newTargetsHistoryCmd(c *config) *cobra.Command {
 	return &cobra.Command{
 		Use:   "history",
 		Short: "List the latest changes and what was decided on each",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := c.settings()
-			if err != nil {
-				return err
-			}
-			_, state, err := openConfiguration(cmd.Context(), s)
+			state, err := c.configuration(cmd.Context())
 			if err != nil {
 				return err
 			}
--- a/jackdaw/internal/publish/force.go
+++ b/jackdaw/internal/publish/force.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"jackdawhinge/common/pause"
 	"jackdawhinge/common/peers"
 	"jackdawhinge/common/roster"
 )
@@ -44,7 +45,7 @@
 		if len(spread.Lagging) == 0 {
 			break
 		}
-		sleep(ctx, askEvery)
+		pause.For(ctx, askEvery)
 	}
 	return spread, nil
 }
--- a/jackdaw/internal/publish/publisher.go
+++ b/jackdaw/internal/publish/publisher.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"jackdawhinge/common/journal"
+	"jackdawhinge/common/pause"
 	"jackdawhinge/common/register"
 )
 
@@ -100,7 +101,7 @@
 		}
 		if _, readErr := p.readOnce(ctx, readWait); readErr != nil {
 			err = readErr
-			sleep(ctx, retryEvery)
+			pause.For(ctx, retryEvery)
 		}
 		if d, ok := p.fold.State().Decision(c.ID); ok {
 			return d, nil
@@ -108,12 +109,3 @@
 	}
 	return register.Decision{}, fmt.Errorf("publish change %s: %w: %w", c.ID, ErrUndecided, errors.Join(err, ctx.Err()))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/jackdawd/internal/control/controller.go
+++ b/jackdawd/internal/control/controller.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jackdawhinge/common/journal"
+	"jackdawhinge/common/pause"
 	"jackdawhinge/common/register"
 	"jackdawhinge/common/roster"
 	"jackdawhinge/jackdawd/internal/routing"
@@ -244,7 +245,7 @@
 				c.tell(ctx, func(s *state) { c.takeHosts(s, list) })
 			}
 		}
-		sleep(ctx, listEvery)
+		pause.For(ctx, listEvery)
 	}
 }
 
@@ -277,13 +278,13 @@
 			if !c.ready.Load() {
 				c.askPeers(ctx)
 			}
-			sleep(ctx, retryEvery)
+			pause.For(ctx, retryEvery)
 		default:
 			from = batch.Next
 			c.tell(ctx, func(s *state) { c.takeRecords(s, batch) })
 			if len(batch.Records) == 0 && !c.ready.Load() {
 				c.askUnlessWhole(ctx)
-				sleep(ctx, retryEvery)
+				pause.For(ctx, retryEvery)
 			}
 		}
 	}
@@ -374,12 +375,3 @@
 		}
 	}()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/jackdawd/internal/dispatch/router.go
+++ b/jackdawd/internal/dispatch/router.go
@@ -27,6 +27,11 @@
 	Serve(ctx context.Context, to routing.EntryHost, item *work.Item, name string, attempt int, sink delivery.Sink) (Move, error)
 }
 
+// A Meter counts retries.
+type Meter interface {
+	Retried(code work.Code)
+}
+
 // A Router takes items of work from callers to the owners of their upstreams.
 type Router struct {
 	views    func() *routing.View
@@ -35,13 +40,14 @@
 	budget   *Budget
 	client   *delivery.Client
 	observer Observer
+	meter    Meter
 	tracer   trace.Tracer
 }
 
 // NewRouter returns a router whose own host serves what the owner does.
-func NewRouter(views func() *routing.View, owner *Owner, peer Peer, client *delivery.Client, observer Observer) *Router {
+func NewRouter(views func() *routing.View, owner *Owner, peer Peer, client *delivery.Client, observer Observer, meter Meter) *Router {
 	return &Router{
-		views: views, owner: owner, peer: peer, budget: NewBudget(), client: client, observer: observer,
+		views: views, owner: owner, peer: peer, budget: NewBudget(), client: client, observer: observer, meter: meter,
 		tracer: otel.Tracer("jackdawd/dispatch"),
 	}
 }
@@ -246,8 +252,11 @@
 		// Should the upstream wake, it need not work on for nobody.
 		go j.cancelAt(j.name)
 	}
+	j.meter.Retried(refusal.Code)
 	j.failed = append(j.failed, j.name)
-	j.attempt = 0
+	// Not the first attempt any more: an owner that remembers the chat at the
+	// upstream that failed would move it back there, until the tries are used up.
+	j.attempt = 1
 	// The target is missed already; an answer now is still better than none.
 	j.beginBy = time.Now().Add(j.item.BeginWithin)
 	logrus.WithFields(logrus.Fields{"request": j.item.ID, "upstream": j.name, "code": refusal.Code}).Info("dispatch: Retrying on another upstream.")
--- a/jackdawd/internal/dispatch/router_test.go
+++ b/jackdawd/internal/dispatch/router_test.go
@@ -72,6 +72,28 @@
 	})
 }
 
+// A chat was moved to an engine that then dies; one host owns that engine and the
+// others. The caller sees its answer from a third engine: the host does not send
+// the chat back to where it remembers it.
+func TestMovedToEngineThatDies(t *testing.T) {
+	run(t, 1, 3, nil, func(t *testing.T, f *fleet) {
+		item := newItem(7, 5)
+		item.Messages = append(item.Messages, item.Messages[0])
+		home, _ := f.first(item)
+		pool, _ := f.view["entry-0"].Pool(testModel)
+		at, _ := pool.Find(home)
+		board := f.owners["entry-0"].board
+		board.Start(at, 90_000)
+		_, to := board.Move(time.Now(), pool, routing.Candidate{Chat: item.Chat, At: at, Cost: 10, Returning: true})
+		require.NotEqual(t, home, to.Name())
+		board.Finish(at, 90_000)
+		f.net.kill(to.Name() + ":1")
+		text, err := f.answer(t.Context(), item, nil)
+		require.NoError(t, err)
+		require.Equal(t, words(5), text)
+	})
+}
+
 // An engine takes the request and hangs: before its headers, or after them. The
 // caller of an idempotent request sees an answer from another engine; that of a
 // non-idempotent one sees "unknown", since the engine may have run it.
--- /dev/null
+++ b/jackdawd/internal/dispatch/service.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"jackdawhinge/common/upstream"
+	"jackdawhinge/jackdawd/internal/delivery"
+	"jackdawhinge/jackdawd/internal/routing"
+	"jackdawhinge/jackdawd/internal/work"
+)
+
+const maxServiceBytes = 8 << 20
+
+// callService passes a call through to a plain service and its answer back in one frame.
+func (o *Owner) callService(ctx context.Context, item *work.Item, u *routing.Upstream, sink delivery.Sink) error {
+	ctx, cancel := context.WithTimeout(ctx, firstFrameTimeout)
+	defer cancel()
+	answer, err := o.askService(ctx, item, u)
+	if delivery.NeverSent(err) {
+		o.observer.Observe(u.Name(), false)
+		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "upstream %s cannot be reached", u.Name()).Retry(retryWhenFull)
+	}
+	if err != nil {
+		o.observer.Observe(u.Name(), false)
+		return work.Uncertain(work.UpstreamFailed, "upstream %s gave no whole answer: %v", u.Name(), err)
+	}
+	o.observer.Observe(u.Name(), true)
+	if err := sink(upstream.Frame{RequestID: item.ID, Finish: upstream.FinishStop, Answer: answer}); err != nil {
+		return work.Uncertain(work.Cancelled, "the reader of the answer left")
+	}
+	return nil
+}
+
+func (o *Owner) askService(ctx context.Context, item *work.Item, u *routing.Upstream) (*upstream.Answer, error) {
+	path := upstream.ServicePath + item.Model + "/" + item.Service.Path
+	req, err := http.NewRequestWithContext(ctx, item.Service.Method, "http://"+u.Address()+path, bytes.NewReader(item.Service.Body))
+	if err != nil {
+		return nil, fmt.Errorf("call upstream %s: %w", u.Name(), err)
+	}
+	req.Header.Set(upstream.RequestIDHeader, item.ID)
+	if item.Service.ContentType != "" {
+		req.Header.Set("Content-Type", item.Service.ContentType)
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := o.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if id := resp.Header.Get(upstream.RequestIDHeader); id != "" && id != item.ID {
+		return nil, &delivery.CrossedError{Want: item.ID, Got: id}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceBytes))
+	if err != nil {
+		return nil, err
+	}
+	return &upstream.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
--- a/jackdawd/internal/ledger/partition.go
+++ b/jackdawd/internal/ledger/partition.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jackdawhinge/common/journal"
+	"jackdawhinge/common/pause"
 	"jackdawhinge/common/peers"
 )
 
@@ -179,7 +180,7 @@
 		}
 		for batch := p.take(); len(batch) > 0 && ctx.Err() == nil; batch = p.take() {
 			p.appendBatch(ctx, batch)
-			sleep(ctx, appendEvery)
+			pause.For(ctx, appendEvery)
 		}
 	}
 }
@@ -194,7 +195,7 @@
 			return
 		}
 		logrus.WithError(err).Warn("ledger: An append failed and is repeated.")
-		sleep(ctx, retryEvery)
+		pause.For(ctx, retryEvery)
 	}
 }
 
@@ -227,7 +228,7 @@
 			// read. It goes on only after it has read to the end again.
 			p.lose()
 			wait = 0
-			sleep(ctx, retryEvery)
+			pause.For(ctx, retryEvery)
 		default:
 			from = batch.Next
 			p.absorb(batch, len(batch.Records) == 0)
@@ -263,12 +264,3 @@
 	p.caught, p.down = false, true
 	p.notify()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/jackdawd/internal/measure/fake_test.go
+++ b/jackdawd/internal/measure/fake_test.go
@@ -43,6 +43,7 @@
 	begin       time.Duration
 	worth       float64
 	shareOfLoad float64
+	sigma       float64 // of the output length; 0 means 1
 }
 
 // fakeEngine batches continuously, computes prompts one after another and caches prefixes with LRU.
@@ -50,6 +51,7 @@
 	up       *routing.Upstream
 	pool     int
 	alive    bool
+	dead     bool
 	running  int
 	tokens   int64
 	reported int64
@@ -123,6 +125,7 @@
 	surplus  time.Duration
 	attempts int
 	seen     []routing.Row
+	failed   []string
 }
 
 type event struct {
@@ -175,6 +178,14 @@
 	return time.Duration(c.rand.ExpFloat64() * float64(mean))
 }
 
+// output draws the length of an answer.
+func (c *clock) output(class *fakeClass) int64 {
+	if class.sigma == 0 {
+		return c.lognormal(class.out, 1)
+	}
+	return c.lognormal(class.out, class.sigma)
+}
+
 // lognormal draws a length with the mean given and a long tail.
 func (c *clock) lognormal(mean, sigma float64) int64 {
 	return int64(math.Exp(math.Log(mean)-sigma*sigma/2+sigma*c.rand.NormFloat64())) + 1
--- a/jackdawd/internal/measure/routing_bench_test.go
+++ b/jackdawd/internal/measure/routing_bench_test.go
@@ -47,6 +47,7 @@
 		{name: "surge", surge: true},
 		{name: "churn", churn: true},
 		{name: "disagree", disagree: true},
+		{name: "domain-lost", domain: true},
 		{name: "surge+churn", surge: true, churn: true},
 		{name: "restart+surge", restart: true, surge: true},
 	}
@@ -95,3 +96,30 @@
 	sorted := slices.Sorted(slices.Values(values))
 	return sorted[int(q*float64(len(sorted)-1))]
 }
+
+// BenchmarkLengthEstimate compares estimates of the output length as a measure of
+// load: the mean, the median, P90, and the critical fractiles r/(r+1) that the paper
+// of Cheng, Do and Nguyen derives for a cost ratio r of 2 and of 10. Lengths have the
+// mean, P90 and P99 that it gives for two traces.
+func BenchmarkLengthEstimate(b *testing.B) {
+	traces := map[string]struct{ mean, sigma float64 }{
+		"burstgpt-like": {131, 1.673},
+		"sharegpt-like": {305, 0.438},
+	}
+	estimates := map[string]float64{"mean": 0, "median": 0.5, "fractile-r2": 2. / 3, "p90": 0.9, "fractile-r10": 10. / 11}
+	for trace, d := range traces {
+		for estimate, q := range estimates {
+			b.Run(trace+"/"+estimate, func(b *testing.B) {
+				classes := []fakeClass{
+					{name: "plate-check", urgency: 0, rate: 0.2, prompt: 100, out: d.mean, sigma: d.sigma, begin: 500 * time.Millisecond, worth: 5, shareOfLoad: 0.3},
+					{name: "portal", urgency: 1, rate: 0.8, prompt: 100, out: d.mean, sigma: d.sigma, begin: 720 * time.Millisecond, worth: 2, shareOfLoad: 0.6},
+				}
+				s := size{hosts: 9, engines: 24, pools: 1, rate: 120_000 / d.mean, duration: 60 * time.Second, pause: 8 * time.Second, step: 3 * time.Millisecond}
+				for range b.N {
+					w := newWorld(s, classes, newOwnedBy(q))
+					report(b, w, w.run(scenario{surge: true}))
+				}
+			})
+		}
+	}
+}
--- a/jackdawd/internal/node/node.go
+++ b/jackdawd/internal/node/node.go
@@ -58,8 +58,8 @@
 	})
 	client := delivery.NewClient()
 	n.owner = dispatch.NewOwner(n.control.View, n.board, client, n.control)
-	router := dispatch.NewRouter(n.control.View, n.owner, dispatch.NewHTTPPeer(client, s.FleetSecret), client, n.control)
 	meter := telemetry.NewMeter()
+	router := dispatch.NewRouter(n.control.View, n.owner, dispatch.NewHTTPPeer(client, s.FleetSecret), client, n.control, meter)
 	executor := ledger.NewExecutor(&fleetClaims{views: n.control.View, keeper: n.keeper, peers: n.peers})
 	handler := intake.NewHandler(n.control.View, router, executor, meter, s.MaxBodyBytes)
 	server, err := peers.NewServer(s.Listen.Control, s.FleetSecret, map[string]any{
@@ -70,9 +70,7 @@
 		return nil, err
 	}
 	n.server = server
-	meter.Gauge("control_bytes", func() int64 { return log.Bytes() + list.Bytes() + n.peers.Bytes() + server.Bytes() })
-	meter.Gauge("configuration_revision", func() int64 { return n.control.View().Revision() })
-	meter.Gauge("moved_chats", func() int64 { return int64(n.board.Moves()) })
+	n.registerGauges(meter, func() int64 { return log.Bytes() + list.Bytes() + n.peers.Bytes() + server.Bytes() })
 	n.serveHTTP(handler, meter)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
--- a/jackdawd/internal/telemetry/meter.go
+++ b/jackdawd/internal/telemetry/meter.go
@@ -22,6 +22,14 @@
 // A Meter counts what callers were given, by class.
 type Meter struct {
 	registry metrics.Registry
+	families []family
+}
+
+// family is values of one kind that come and go, such as one for each upstream.
+type family struct {
+	name  string
+	label string
+	read  func() map[string]int64
 }
 
 // NewMeter returns a meter that has counted nothing.
@@ -46,6 +54,17 @@
 	m.registry.GetOrRegister(name, metrics.NewFunctionalGauge(read))
 }
 
+// Family registers values by label that are read when metrics are collected; it must be called before Handler.
+func (m *Meter) Family(name, label string, read func() map[string]int64) {
+	m.families = append(m.families, family{name: name, label: label, read: read})
+}
+
+// Retried counts a retry, by the code of the refusal that made it necessary.
+func (m *Meter) Retried(code work.Code) {
+	name := strings.Join([]string{"retries", "code", string(code)}, labelMark)
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
 func (m *Meter) timer(name, class string) metrics.Timer {
 	full := strings.Join([]string{name, "class", class}, labelMark)
 	created := func() metrics.Timer {
@@ -61,13 +80,14 @@
 // Handler returns the HTTP handler from which collectors read the metrics.
 func (m *Meter) Handler() http.Handler {
 	r := prometheus.NewRegistry()
-	r.MustRegister(collector{m.registry})
+	r.MustRegister(collector{m.registry, m.families})
 	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
 }
 
 // collector gives the registry's metrics to a collector of the usual kind.
 type collector struct {
 	registry metrics.Registry
+	families []family
 }
 
 // Describe sends nothing: the metrics depend on the classes.
@@ -75,6 +95,11 @@
 
 // Collect sends each metric of the registry.
 func (c collector) Collect(out chan<- prometheus.Metric) {
+	for _, f := range c.families {
+		for label, v := range f.read() {
+			out <- prometheus.MustNewConstMetric(describe(f.name, f.label), prometheus.GaugeValue, float64(v), label)
+		}
+	}
 	c.registry.Each(func(full string, metric any) {
 		parts := strings.Split(full, labelMark)
 		var names, values []string
@@ -82,7 +107,7 @@
 			names = append(names, parts[i])
 			values = append(values, parts[i+1])
 		}
-		desc := prometheus.NewDesc("jackdawd_"+parts[0], "See docs/reference/metrics.md.", names, nil)
+		desc := describe(parts[0], names...)
 		switch v := metric.(type) {
 		case metrics.Counter:
 			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(v.Count()), values...)
@@ -94,6 +119,10 @@
 	})
 }
 
+func describe(name string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("jackdawd_"+name, "See docs/reference/metrics.md.", labels, nil)
+}
+
 func quantiles(t metrics.Timer) map[float64]float64 {
 	out := map[float64]float64{}
 	for _, q := range []float64{0.5, 0.95, 0.99} {
