--- a/jackdawd/internal/dispatch/owner.go
+++ b/jackdawd/internal/dispatch/owner.go
@@ -22,6 +22,7 @@
 	// unknownCapacity stands for an upstream whose capacity the host list does not give.
 	unknownCapacity = 1 << 40
 	retryWhenFull   = 2 * time.Second
+	maxRetryAfter   = time.Minute
 )
 
 // An Observer takes this host's own evidence on whether a host answers.
@@ -203,6 +204,13 @@
 }
 
 func refuseWaiting(err error, item *work.Item) error {
+	var late *queue.LateError
+	if errors.As(err, &late) {
+		// The caller is told when there may be room, within bounds: the measured
+		// drain says little about more than a minute ahead.
+		after := min(max(late.Wait, retryWhenFull), maxRetryAfter)
+		return work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "class %q: %v", item.Class, err).Retry(after)
+	}
 	if errors.Is(err, queue.ErrTooLate) || errors.Is(err, queue.ErrFull) {
 		return work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "class %q: %v", item.Class, err).Retry(retryWhenFull)
 	}
--- a/jackdawd/internal/ledger/executor_test.go
+++ b/jackdawd/internal/ledger/executor_test.go
@@ -145,6 +145,20 @@
 	})
 }
 
+// The caller repeats a finished request at once. The partition's owner knows the
+// outcome before its record is in the log, and answers the same.
+func TestRepeatAtOnce(t *testing.T) {
+	with(t, func(t *testing.T, r *registry) {
+		for range 2 {
+			answer, err := r.post(r.hosts[0], "entry-7", "body")
+			require.NoError(t, err)
+			require.Equal(t, "entered", answer)
+			synctest.Wait()
+		}
+		require.EqualValues(t, 1, r.executed.Load())
+	})
+}
+
 // A key comes again with another body. It is refused, whoever is asked.
 func TestKeyReusedForAnotherBody(t *testing.T) {
 	with(t, func(t *testing.T, r *registry) {
--- a/jackdawd/internal/ledger/fold.go
+++ b/jackdawd/internal/ledger/fold.go
@@ -99,7 +99,7 @@
 	case VoidRecord:
 		h.voids = append(h.voids, void{claim: rec.Claim, offset: r.Offset})
 	case OutcomeRecord:
-		if h.outcome == nil {
+		if h.outcome == nil || h.outcome.claim == rec.Claim {
 			h.outcome = &outcome{claim: rec.Claim, body: rec.Body, offset: r.Offset, state: rec.State, answer: rec.Answer}
 		}
 	}
@@ -149,6 +149,19 @@
 	return nil
 }
 
+// Hint takes in the outcome of a claim that holds its key before its record is
+// read back, so that a repeat is answered at once. It frees no key: should the
+// record be lost with this host, others take the claim for running, then uncertain.
+func (f *Fold) Hint(args peers.CloseArgs) {
+	h, ok := f.keys[args.Key]
+	if !ok || args.Void || h.outcome != nil {
+		return
+	}
+	if holder := h.holder(); holder != nil && holder.id == args.Claim {
+		h.outcome = &outcome{claim: args.Claim, body: args.Body, offset: holder.offset, state: args.State, answer: args.Answer}
+	}
+}
+
 // Trim forgets what retention has removed from the stream below earliest.
 func (f *Fold) Trim(earliest int64) {
 	if f.next < earliest {
--- a/jackdawd/internal/ledger/partition.go
+++ b/jackdawd/internal/ledger/partition.go
@@ -122,6 +122,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.fold.Hint(args)
 	return p.enqueue(r)
 }
 
--- a/jackdawd/internal/queue/line.go
+++ b/jackdawd/internal/queue/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -20,6 +21,21 @@
 // ErrTooLate says that a request cannot begin in time; it has not been passed on.
 var ErrTooLate = errors.New("cannot begin in time")
 
+// A LateError is ErrTooLate with the wait that is expected; after it there may be room.
+type LateError struct {
+	Wait time.Duration
+}
+
+// Error returns the wait.
+func (e *LateError) Error() string {
+	return fmt.Sprintf("%v: about %s of work waits before it", ErrTooLate, e.Wait.Round(time.Millisecond))
+}
+
+// Unwrap returns ErrTooLate.
+func (e *LateError) Unwrap() error {
+	return ErrTooLate
+}
+
 // ErrFull says that the queue is full; the request has not been passed on.
 var ErrFull = errors.New("queue is full")
 
@@ -113,8 +129,8 @@
 	if l.waiting >= maxWaiting {
 		return nil, ErrFull
 	}
-	if l.waiting > 0 && t.BeginBy.Sub(now) < l.expectedWait(now, t) {
-		return nil, ErrTooLate
+	if wait := l.expectedWait(now, t); l.waiting > 0 && t.BeginBy.Sub(now) < wait {
+		return nil, &LateError{Wait: wait}
 	}
 	c.add(w)
 	l.waiting++
--- a/jackdawd/internal/queue/queue_test.go
+++ b/jackdawd/internal/queue/queue_test.go
@@ -123,6 +123,9 @@
 	late.BeginBy = now.Add(time.Second)
 	_, err = line.Enter(now, late)
 	require.ErrorIs(t, err, ErrTooLate)
+	var tooLate *LateError
+	require.ErrorAs(t, err, &tooLate)
+	require.InDelta(t, 10, tooLate.Wait.Seconds(), 3, "a hundred at ten a second, and the rest of a window")
 }
 
 // An engine gets slower than the target between tokens. Its limit falls, down to
