--- a/jackdaw/internal/publish/force.go
+++ b/jackdaw/internal/publish/force.go
@@ -50,6 +50,15 @@
 	return spread, nil
 }
 
+// AskOnce asks every live entry host once whether it has the revision in force.
+func AskOnce(ctx context.Context, list HostList, caller Caller, revision int64) (Spread, error) {
+	hosts, _, _, err := list.Read(ctx, "")
+	if err != nil {
+		return Spread{}, err
+	}
+	return ask(ctx, hosts.Hosts, caller, revision), nil
+}
+
 func ask(ctx context.Context, hosts []roster.Host, caller Caller, revision int64) Spread {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
