--- a/jackdawd/internal/dispatch/deliver.go
+++ b/jackdawd/internal/dispatch/deliver.go
@@ -71,8 +71,10 @@
 	if err != nil {
 		return work.Refuse(http.StatusBadRequest, work.BadRequest, "the request cannot be encoded")
 	}
-	first := min(max(firstFrameFactor*item.Target, minFirstFrame), firstFrameTimeout)
-	err = o.exchange(ctx, http.MethodPost, u, upstream.GeneratePath, body, first, p, sink)
+	err = o.exchange(ctx, u, call{
+		method: http.MethodPost, path: upstream.GeneratePath, body: body, idempotent: item.Idempotent,
+		first: min(max(firstFrameFactor*item.Target, minFirstFrame), firstFrameTimeout),
+	}, p, sink)
 	if delivery.NeverSent(err) {
 		o.observer.Observe(u.Name(), false)
 		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "upstream %s cannot be reached", u.Name()).Retry(retryWhenFull)
@@ -92,7 +94,9 @@
 			return work.Uncertain(work.Cancelled, "the reader of the answer left")
 		}
 		var refused *work.Refusal
-		if errors.As(err, &refused) {
+		if errors.As(err, &refused) && try == 0 {
+			// Only the answer to the request itself can prove that it was not run;
+			// a refusal to resume says nothing about what the request did.
 			return refused
 		}
 		if try == maxResumes || (p.Next == 0 && try == maxEmptyResumes) {
@@ -101,17 +105,27 @@
 		}
 		pause.For(ctx, resumeBackoff<<try)
 		path := upstream.RequestsPath + p.ID + "?from=" + strconv.Itoa(p.Next)
-		err = o.exchange(ctx, http.MethodGet, u, path, nil, stallTimeout, p, sink)
+		err = o.exchange(ctx, u, call{method: http.MethodGet, path: path, idempotent: true, first: stallTimeout}, p, sink)
 	}
 	o.observer.Observe(u.Name(), true)
 	return nil
 }
 
-// exchange makes one HTTP call and copies the frames of its answer.
-func (o *Owner) exchange(ctx context.Context, method string, u *routing.Upstream, path string, body []byte, first time.Duration, p *delivery.Progress, sink delivery.Sink) error {
-	ctx, watch := watchStall(ctx, first)
+// A call is one HTTP call of an upstream.
+type call struct {
+	method     string
+	path       string
+	body       []byte
+	idempotent bool
+	// first is how long the first frame may take.
+	first time.Duration
+}
+
+// exchange makes one call and copies the frames of its answer.
+func (o *Owner) exchange(ctx context.Context, u *routing.Upstream, c call, p *delivery.Progress, sink delivery.Sink) error {
+	ctx, watch := watchStall(ctx, c.first)
 	defer watch.stop()
-	resp, err := o.send(ctx, method, u, path, body, p.ID)
+	resp, err := o.send(ctx, u, c, p.ID)
 	if err != nil {
 		return err
 	}
@@ -125,14 +139,14 @@
 	})
 }
 
-func (o *Owner) send(ctx context.Context, method string, u *routing.Upstream, path string, body []byte, id string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.Address()+path, bytes.NewReader(body))
+func (o *Owner) send(ctx context.Context, u *routing.Upstream, c call, id string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+u.Address()+c.path, bytes.NewReader(c.body))
 	if err != nil {
 		return nil, fmt.Errorf("call upstream %s: %w", u.Name(), err)
 	}
 	req.Header.Set(upstream.RequestIDHeader, id)
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
-	return o.client.Do(req)
+	return o.client.DoFor(req, c.idempotent)
 }
 
 // refusedByUpstream returns what an upstream's error status means. A status says
--- a/jackdawd/internal/dispatch/peer.go
+++ b/jackdawd/internal/dispatch/peer.go
@@ -86,11 +86,11 @@
 	req.Header.Set(attemptHeader, strconv.Itoa(attempt))
 	req.Header.Set(secretHeader, p.secret)
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
-	return p.client.Do(req)
+	return p.client.DoFor(req, item.Idempotent)
 }
 
 // PeerHandler returns the handler of items that other entry hosts pass on.
-func PeerHandler(owner *Owner, secret string) http.Handler {
+func PeerHandler(owner *Owner, secret string, stopping func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Callers can perhaps reach this address too; without the secret they
 		// could skip authentication and name another's workspace.
@@ -98,6 +98,14 @@
 			work.Refuse(http.StatusForbidden, work.Forbidden, "the fleet secret is wrong").Write(w)
 			return
 		}
+		if stopping() {
+			// Other hosts keep connections to this one. Were they just closed, a
+			// request sent at that moment could neither be called run nor not run;
+			// so this host refuses, and asks for each connection to be closed.
+			w.Header().Set("Connection", "close")
+			work.Refuse(http.StatusServiceUnavailable, work.Stopping, "the host is stopping").Write(w)
+			return
+		}
 		var item work.Item
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxItemBytes)).Decode(&item); err != nil {
 			work.Refuse(http.StatusBadRequest, work.BadRequest, "the item cannot be read").Write(w)
@@ -114,6 +122,8 @@
 		return
 	}
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := owner.tracer.Start(ctx, "owner")
+	defer span.End()
 	frames := &frameWriter{w: w, enc: json.NewEncoder(w), out: http.NewResponseController(w)}
 	move, err := owner.Serve(ctx, item, r.Header.Get(upstreamHeader), attempt, frames.write)
 	var refusal *work.Refusal
--- a/jackdawd/internal/dispatch/router.go
+++ b/jackdawd/internal/dispatch/router.go
@@ -183,12 +183,16 @@
 		return j.owner.Serve(ctx, &item, u.Name(), j.attempt, j.take)
 	}
 	move, err := j.peer.Serve(ctx, host, &item, u.Name(), j.attempt, j.take)
+	var refusal *work.Refusal
+	if errors.As(err, &refusal) && refusal.Code == work.Stopping {
+		j.excluded = append(j.excluded, host.Name())
+		return Move{}, errOwnerGone
+	}
 	if delivery.NeverSent(err) {
 		j.observer.Observe(host.Name(), false)
 		j.excluded = append(j.excluded, host.Name())
 		return Move{}, errOwnerGone
 	}
-	var refusal *work.Refusal
 	if err != nil && !errors.As(err, &refusal) {
 		j.observer.Observe(host.Name(), false)
 		j.excluded = append(j.excluded, host.Name())
--- a/jackdawd/internal/dispatch/router_test.go
+++ b/jackdawd/internal/dispatch/router_test.go
@@ -58,6 +58,57 @@
 	})
 }
 
+// The owner's host is in a planned stop. It refuses the item as not run, and the
+// caller of a request that may not be repeated sees its answer through another.
+func TestOwnerStopping(t *testing.T) {
+	run(t, 3, 2, nil, func(t *testing.T, f *fleet) {
+		item := f.itemOwnedElsewhere(5)
+		item.Idempotent = false
+		_, f.stopping = f.first(item)
+		text, err := f.answer(t.Context(), item, nil)
+		require.NoError(t, err)
+		require.Equal(t, words(5), text)
+	})
+}
+
+// An engine takes a request, closes the connection without a frame, and refuses to
+// resume as "full". The caller must not read "not-run": that was said of resuming.
+func TestRefusedResumeIsUnknown(t *testing.T) {
+	cut := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		panic(http.ErrAbortHandler)
+	})
+	run(t, 1, 1, map[string]http.Handler{"engine-0": cut}, func(t *testing.T, f *fleet) {
+		item := newItem(1, 5)
+		item.Idempotent = false
+		_, err := f.answer(t.Context(), item, nil)
+		require.Equal(t, work.Unknown, outcome(t, err))
+	})
+}
+
+// An engine answers only after the request was given up and answered by another.
+// The caller sees one answer, and nothing of the late one.
+func TestAnswerAfterTimeout(t *testing.T) {
+	late := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(time.Minute)
+		encodeFrame(w, upstream.Frame{RequestID: r.Header.Get(upstream.RequestIDHeader), Text: "late", Finish: upstream.FinishStop})
+	})
+	run(t, 1, 2, map[string]http.Handler{"engine-0": late}, func(t *testing.T, f *fleet) {
+		item := newItem(1, 5)
+		for name := ""; name != "engine-0"; name, _ = f.first(item) {
+			item = newItem(item.Chat+1, 5)
+		}
+		text, err := f.answer(t.Context(), item, nil)
+		require.NoError(t, err)
+		require.Equal(t, words(5), text)
+		time.Sleep(5 * time.Minute)
+	})
+}
+
 // An engine refuses connections. The caller sees its answer from the chat's next
 // engine: a refused connection proves that the request was not run there.
 func TestEngineDown(t *testing.T) {
--- a/jackdawd/internal/dispatch/service.go
+++ b/jackdawd/internal/dispatch/service.go
@@ -49,7 +49,7 @@
 		req.Header.Set("Content-Type", item.Service.ContentType)
 	}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
-	resp, err := o.client.Do(req)
+	resp, err := o.client.DoFor(req, item.Idempotent)
 	if err != nil {
 		return nil, err
 	}
--- a/jackdawd/internal/node/node.go
+++ b/jackdawd/internal/node/node.go
@@ -95,7 +95,7 @@
 	n.callers.HandlePrefix(intake.ServicePath, http.HandlerFunc(handler.ServeService))
 	n.callers.ReadHeaderTimeout = headerTimeout
 	n.inner = khttp.NewServer(khttp.Address(n.settings.Listen.Peers), khttp.Timeout(0))
-	n.inner.Handle(dispatch.PeerPath, dispatch.PeerHandler(n.owner, n.settings.FleetSecret))
+	n.inner.Handle(dispatch.PeerPath, dispatch.PeerHandler(n.owner, n.settings.FleetSecret, n.stopping.Load))
 	n.inner.ReadHeaderTimeout = headerTimeout
 	n.admin = khttp.NewServer(khttp.Address(n.settings.Listen.Admin), khttp.Timeout(0))
 	n.admin.HandlePrefix("/", admin.Handler(n, meter.Handler()))
--- a/jackdawd/internal/settings/settings.go
+++ b/jackdawd/internal/settings/settings.go
@@ -26,6 +26,7 @@
 const (
 	defaultStopWithin   = 30 * time.Second
 	defaultMaxBodyBytes = 8 << 20
+	defaultUnreadyFor   = time.Second
 	minSecretBytes      = 16
 	maxBodyLimit        = 64 << 20
 )
@@ -74,7 +75,7 @@
 
 // Parse returns the settings in JSON, with defaults filled in, checked.
 func Parse(data []byte) (Settings, error) {
-	s := Settings{StopWithin: targets.Duration(defaultStopWithin), MaxBodyBytes: defaultMaxBodyBytes}
+	s := Settings{StopWithin: targets.Duration(defaultStopWithin), UnreadyFor: targets.Duration(defaultUnreadyFor), MaxBodyBytes: defaultMaxBodyBytes}
 	s.Logs.Format = TextLogs
 	s.Logs.Level = logrus.InfoLevel.String()
 	if err := register.DecodeStrict(data, &s); err != nil {
