--- a/capacity/internal/plan/slope.go
+++ b/capacity/internal/plan/slope.go
@@ -33,6 +33,7 @@
 }
 
 var sources = []source{
+	{"token-time", "Streaming/streams", "core-ns/token", true},
 	{"decision", "Decision/engines", "ns/op", false},
 	{"view-time", "View/engines", "ns/op", false},
 	{"view-bytes-upstream", "Bytes/upstreams", "B", false},
--- a/capacity/internal/plan/tables.go
+++ b/capacity/internal/plan/tables.go
@@ -129,6 +129,9 @@
 		{"traffic", "tokens/s a node, over two hops", "streamed frame by frame", number, func(s size) float64 { return 2 * s.tokens / s.nodes }},
 		{"traffic", "answers in progress a node, as entry and as owner", "one goroutine and buffers each", number, func(s size) float64 { return 2 * s.requests / s.nodes * meanAnswerSeconds }},
 		{"traffic", "memory for them", "buffers, bounded by limits", megabytes, func(s size) float64 { return processBaseBytes + 2*s.requests/s.nodes*meanAnswerSeconds*streamBytes }},
+		{"traffic", "cores for them, callers and engine included", "two copies a token", number, func(s size) float64 {
+			return s.tokens / s.nodes * m.perOne("token-time") / 1e9
+		}},
 		{"traffic", "one decision", "rendezvous hashing over the pool", micro, func(s size) float64 { return m.at("decision", s.poolSize()) }},
 		{"control", "upstreams owned a node", "sharded: rendezvous hashing over entry hosts", number, size.owned},
 		{"control", "view", "whole, rebuilt on change", megabytes, func(s size) float64 {
