--- a/jackdawd/internal/control/controller_test.go
+++ b/jackdawd/internal/control/controller_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,6 +185,67 @@
 	})
 }
 
+// remoteLog is the log as a host reaches it, over a network that takes time and may be cut.
+type remoteLog struct {
+	Journal
+	delay time.Duration
+	cut   atomic.Bool
+}
+
+func (r *remoteLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (journal.Batch, error) {
+	time.Sleep(r.delay)
+	if r.cut.Load() {
+		return journal.Batch{}, journal.ErrUnavailable
+	}
+	return r.Journal.Read(ctx, stream, from, wait)
+}
+
+// Nine hosts, 50 ms from the log, of which four cannot reach it for an hour: a
+// region cut off. A change is in force on the five within a second. The four keep
+// what they had and stay ready; joined again they have the change within two.
+func TestRegionCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		defer b.close()
+		var logs []*remoteLog
+		var hosts []*Controller
+		for i := range 9 {
+			log := &remoteLog{Journal: b.log, delay: 50 * time.Millisecond}
+			name := fmt.Sprintf("entry-%d", i)
+			b.list.Put(roster.Host{Name: name, Role: roster.EntryHost, State: roster.Live, FailureDomain: fmt.Sprintf("r%d/a", i%2)})
+			c := NewController(Options{Self: name, Region: fmt.Sprintf("r%d", i%2), Journal: log, List: fakeList{b.list}, Peers: fakePeers{}})
+			b.peers[name] = c
+			logs, hosts = append(logs, log), append(hosts, c)
+		}
+		settle()
+		b.change(t, "first", 0, 0.1)
+		inForce := func(share float64, within time.Duration, of int) {
+			t.Helper()
+			time.Sleep(within)
+			synctest.Wait()
+			n := 0
+			for _, c := range hosts {
+				require.True(t, c.Ready())
+				if c.View().Document().Classes["portal"].Share == share {
+					n++
+				}
+			}
+			require.Equal(t, of, n)
+		}
+		inForce(0.1, time.Second, 9)
+		for i := 1; i < 9; i += 2 {
+			logs[i].cut.Store(true)
+		}
+		time.Sleep(time.Hour)
+		b.change(t, "second", 1, 0.2)
+		inForce(0.2, time.Second, 5)
+		for _, l := range logs {
+			l.cut.Store(false)
+		}
+		inForce(0.2, 2*time.Second, 9)
+	})
+}
+
 // A leaving upstream is out of every host's view within two seconds.
 func TestLeavingUpstream(t *testing.T) {
 	oneHost(t, func(t *testing.T, b *bench, c *Controller) {
--- a/jackdawd/internal/measure/routing_bench_test.go
+++ b/jackdawd/internal/measure/routing_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -97,6 +98,21 @@
 	return sorted[int(q*float64(len(sorted)-1))]
 }
 
+// BenchmarkMultiple shows what a model's load multiple trades: cache reuse for evenness.
+func BenchmarkMultiple(b *testing.B) {
+	for _, s := range sizes[1:] {
+		for _, multiple := range []float64{1.15, 1.25, 1.4, 1.6} {
+			b.Run(fmt.Sprintf("%s/%.2f", s.name, multiple), func(b *testing.B) {
+				s.multiple = multiple
+				for range b.N {
+					w := newWorld(s, slices.Clone(mixed), newOwned)
+					report(b, w, w.run(scenario{churn: true}))
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkLengthEstimate compares estimates of the output length as a measure of
 // load: the mean, the median, P90, and the critical fractiles r/(r+1) that the paper
 // of Cheng, Do and Nguyen derives for a cost ratio r of 2 and of 10. Lengths have the
