--- /dev/null
+++ b/jackdaw/internal/cmd/claimscmd.go
@@ -0,0 +1,56 @@
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"jackdawhinge/common/report"
+)
+
+var errNotRead = errors.New("the host has not read the log's records of this key to their end")
+
+func newClaimsCmd(c *config) *cobra.Command {
+	var workspace, key string
+	cmd := &cobra.Command{
+		Use:   "claims",
+		Short: "Show what the log holds of an idempotency key: who claimed it and what became of it",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var found report.Claims
+			q := url.Values{"workspace": {workspace}, "key": {key}}
+			if err := c.query(cmd.Context(), report.ClaimsPath, q, &found); err != nil {
+				return err
+			}
+			if !found.Whole {
+				return errNotRead
+			}
+			return c.print(cmd.OutOrStdout(), found, func(w io.Writer) error { return printClaims(w, found) })
+		},
+	}
+	cmd.Flags().StringVar(&workspace, "workspace", "", "the workspace that sent the key")
+	cmd.Flags().StringVar(&key, "key", "", "the idempotency key")
+	return cmd
+}
+
+func printClaims(out io.Writer, found report.Claims) error {
+	if len(found.Claims) == 0 {
+		_, err := fmt.Fprintln(out, "the key is free: the log holds no claim of it")
+		return err
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(w, "OFFSET\tCLAIM\tSTATE\tREAD"); err != nil {
+		return err
+	}
+	for _, c := range found.Claims {
+		if _, err := fmt.Fprintf(w, "%d\t%s\t%s\t%s ago\n", c.Offset, c.ID, c.State, time.Duration(c.Read)); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
--- a/jackdaw/internal/cmd/cmd.go
+++ b/jackdaw/internal/cmd/cmd.go
@@ -63,7 +63,7 @@
 	root.PersistentFlags().StringVar(&c.output, "output", "text", "text or json")
 	targetsCmd := &cobra.Command{Use: "targets", Short: "Publish and show the targets of classes of work"}
 	targetsCmd.AddCommand(newTargetsApplyCmd(c), newTargetsShowCmd(c), newTargetsHistoryCmd(c), newTargetsSpreadCmd(c), newTargetsHashCmd())
-	root.AddCommand(targetsCmd, newStatusCmd(c), newExplainCmd(c))
+	root.AddCommand(targetsCmd, newStatusCmd(c), newExplainCmd(c), newClaimsCmd(c))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	err := root.ExecuteContext(ctx)
--- a/jackdawd/internal/admin/handler.go
+++ b/jackdawd/internal/admin/handler.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -17,6 +18,7 @@
 	Depth(u *routing.Upstream) (requests int, tokens, limit int64)
 	Ready() bool
 	ListAge() time.Duration
+	Claims(ctx context.Context, workspace, key string) report.Claims
 }
 
 // Handler returns the handler of liveness, readiness, metrics, status and explanations.
@@ -31,6 +33,10 @@
 	mux.Handle("GET /metrics", metrics)
 	mux.HandleFunc("GET "+report.StatusPath, func(w http.ResponseWriter, _ *http.Request) { write(w, status(host)) })
 	mux.HandleFunc("GET "+report.ExplainPath, func(w http.ResponseWriter, r *http.Request) { serveExplain(host, w, r) })
+	mux.HandleFunc("GET "+report.ClaimsPath, func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		write(w, host.Claims(r.Context(), q.Get("workspace"), q.Get("key")))
+	})
 	return mux
 }
 
--- a/jackdawd/internal/dispatch/fleet_test.go
+++ b/jackdawd/internal/dispatch/fleet_test.go
@@ -206,6 +206,15 @@
 	}
 }
 
+// itemFirstAt returns an item of a chat after the one given whose first engine is the one named.
+func (f *fleet) itemFirstAt(name string, after uint64) *work.Item {
+	for chat := after + 1; ; chat++ {
+		if at, _ := f.first(newItem(chat, 5)); at == name {
+			return newItem(chat, 5)
+		}
+	}
+}
+
 // answer routes an item from entry-0 and returns its text; at is called before each frame is taken.
 func (f *fleet) answer(ctx context.Context, item *work.Item, at func(position int)) (string, error) {
 	var text strings.Builder
--- a/jackdawd/internal/intake/chat.go
+++ b/jackdawd/internal/intake/chat.go
@@ -15,6 +15,11 @@
 
 // ServeChat answers a chat-completions request.
 func (h *Handler) ServeChat(w http.ResponseWriter, r *http.Request) {
+	if refusal := h.enter(); refusal != nil {
+		refusal.Write(w)
+		return
+	}
+	defer h.leave()
 	item, c, body, stream, refusal := h.chatItem(w, r)
 	if refusal != nil {
 		h.meter.Refused(c.class, refusal)
--- a/jackdawd/internal/intake/handler.go
+++ b/jackdawd/internal/intake/handler.go
@@ -38,6 +38,10 @@
 	// writeTimeout is how long a caller may take to accept one piece of its answer.
 	writeTimeout = 15 * time.Second
 	maxKeyBytes  = 255
+	// maxInProgress bounds the requests that one host has in progress, and so its
+	// memory: ten times what a host has at the size that the fleet is made for.
+	maxInProgress = 8192
+	retryWhenFull = 2 * time.Second
 )
 
 // A Router brings an item's answer to a sink.
@@ -59,16 +63,32 @@
 	meter    Meter
 	maxBody  int64
 	tracer   trace.Tracer
+	slots    chan struct{}
 }
 
 // NewHandler returns a handler that passes work to the router.
 func NewHandler(views func() *routing.View, router Router, executor *ledger.Executor, meter Meter, maxBody int64) *Handler {
 	return &Handler{
 		views: views, router: router, executor: executor, meter: meter, maxBody: maxBody,
-		tracer: otel.Tracer("jackdawd/intake"),
+		tracer: otel.Tracer("jackdawd/intake"), slots: make(chan struct{}, maxInProgress),
 	}
 }
 
+// enter takes a slot, or refuses: a crowd must not take the host down with it. The
+// slot is given back by leave.
+func (h *Handler) enter() *work.Refusal {
+	select {
+	case h.slots <- struct{}{}:
+		return nil
+	default:
+		return work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "the host has too many requests in progress").Retry(retryWhenFull)
+	}
+}
+
+func (h *Handler) leave() {
+	<-h.slots
+}
+
 // caller is who asks, and for which class of work.
 type caller struct {
 	workspace string
--- a/jackdawd/internal/intake/handler_test.go
+++ b/jackdawd/internal/intake/handler_test.go
@@ -159,6 +159,21 @@
 	require.Contains(t, []string{"2", "3"}, header.Get("Retry-After"))
 }
 
+// A crowd holds all the slots of a host. The next caller is refused as not run, at
+// once; when one has left the next is answered.
+func TestTooManyInProgress(t *testing.T) {
+	h := newTestHandler(&fakeRouter{})
+	for range maxInProgress {
+		require.Nil(t, h.enter())
+	}
+	status, body, _ := ask(t, h.ServeChat, goodBody, nil)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, `"outcome":"not-run"`)
+	h.leave()
+	status, _, _ = ask(t, h.ServeChat, goodBody, nil)
+	require.Equal(t, http.StatusOK, status)
+}
+
 // Whatever happens to a request, neither its text nor its token is in the logs.
 func TestNothingPrivateInLogs(t *testing.T) {
 	hook := logtest.NewGlobal()
--- a/jackdawd/internal/intake/service.go
+++ b/jackdawd/internal/intake/service.go
@@ -13,6 +13,11 @@
 
 // ServeService passes a call through to a plain service.
 func (h *Handler) ServeService(w http.ResponseWriter, r *http.Request) {
+	if refusal := h.enter(); refusal != nil {
+		refusal.Write(w)
+		return
+	}
+	defer h.leave()
 	item, c, body, refusal := h.serviceItem(w, r)
 	if refusal != nil {
 		h.meter.Refused(c.class, refusal)
--- a/jackdawd/internal/node/node.go
+++ b/jackdawd/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"jackdawhinge/common/journal"
 	"jackdawhinge/common/peers"
+	"jackdawhinge/common/report"
 	"jackdawhinge/common/roster"
 	"jackdawhinge/jackdawd/internal/admin"
 	"jackdawhinge/jackdawd/internal/control"
@@ -115,6 +116,11 @@
 	return n.owner.Depth(u)
 }
 
+// Claims returns what the log holds of a workspace's idempotency key.
+func (n *Node) Claims(ctx context.Context, workspace, key string) report.Claims {
+	return n.keeper.History(ctx, workspace, key)
+}
+
 // ListAge returns how long ago the host list was last confirmed.
 func (n *Node) ListAge() time.Duration { return n.control.ListAge() }
 
