--- a/common/peers/server.go
+++ b/common/peers/server.go
@@ -18,7 +18,7 @@
 
 // A Server answers the control messages of other processes of the fleet.
 type Server struct {
-	proof    [sha256.Size]byte
+	proofs   [][sha256.Size]byte
 	rpc      *rpc.Server
 	listener net.Listener
 	wire     wire.Counter
@@ -27,9 +27,13 @@
 	closed   bool
 }
 
-// NewServer returns a server at address of the services given by name.
-func NewServer(address, secret string, services map[string]any) (*Server, error) {
-	s := &Server{proof: sha256.Sum256([]byte(secret)), rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+// NewServer returns a server at address of the services given by name, for
+// processes that know one of the secrets: while a secret is being replaced, there are two.
+func NewServer(address string, secrets []string, services map[string]any) (*Server, error) {
+	s := &Server{rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+	for _, secret := range secrets {
+		s.proofs = append(s.proofs, sha256.Sum256([]byte(secret)))
+	}
 	for name, service := range services {
 		if err := s.rpc.RegisterName(name, service); err != nil {
 			return nil, fmt.Errorf("register control service %s: %w", name, err)
@@ -100,7 +104,7 @@
 	if _, err := io.ReadFull(conn, proof[:]); err != nil {
 		return false
 	}
-	if subtle.ConstantTimeCompare(proof[:], s.proof[:]) != 1 {
+	if !s.knows(proof) {
 		return false
 	}
 	s.mu.Lock()
@@ -108,3 +112,12 @@
 	s.conns[conn] = true
 	return !s.closed && conn.SetReadDeadline(time.Time{}) == nil
 }
+
+// knows reports whether a proof is that of one of the secrets, in a time that does not depend on it.
+func (s *Server) knows(proof [sha256.Size]byte) bool {
+	match := 0
+	for i := range s.proofs {
+		match |= subtle.ConstantTimeCompare(proof[:], s.proofs[i][:])
+	}
+	return match == 1
+}
--- a/jackdawd/internal/control/controller.go
+++ b/jackdawd/internal/control/controller.go
@@ -271,6 +271,11 @@
 				s.fold.Trimmed(trimmed.Earliest)
 				c.publish(s)
 			})
+			if c.ready.Load() {
+				// A host that was cut off or paused for longer than the log keeps
+				// records would else wait for the next checkpoint.
+				c.askPeers(ctx)
+			}
 		case ctx.Err() != nil:
 			return
 		case err != nil:
--- a/jackdawd/internal/control/controller_test.go
+++ b/jackdawd/internal/control/controller_test.go
@@ -246,6 +246,31 @@
 	})
 }
 
+// A host is cut off from the log until retention has trimmed a change that it has
+// not read. Joined again it takes the configuration from a peer, rather than waiting
+// minutes for a checkpoint, and never falls back.
+func TestCutOffPastRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench("entry-1", "entry-2")
+		defer b.close()
+		log := &remoteLog{Journal: b.log}
+		b.start("entry-1")
+		far := NewController(Options{Self: "entry-2", Region: "r", Journal: log, List: fakeList{b.list}, Peers: b.peers})
+		b.peers["entry-2"] = far
+		settle()
+		b.change(t, "first", 0, 0.1)
+		settle()
+		log.cut.Store(true)
+		time.Sleep(time.Minute)
+		b.change(t, "second", 1, 0.2)
+		settle()
+		b.log.Trim(register.Stream, 2)
+		log.cut.Store(false)
+		settle()
+		require.EqualValues(t, 2, far.View().Revision())
+	})
+}
+
 // A leaving upstream is out of every host's view within two seconds.
 func TestLeavingUpstream(t *testing.T) {
 	oneHost(t, func(t *testing.T, b *bench, c *Controller) {
--- a/jackdawd/internal/dispatch/deliver.go
+++ b/jackdawd/internal/dispatch/deliver.go
@@ -76,12 +76,19 @@
 		first: min(max(firstFrameFactor*item.Target, minFirstFrame), firstFrameTimeout),
 	}, p, sink)
 	if delivery.NeverSent(err) {
-		o.observer.Observe(u.Name(), false)
+		o.blame(ctx, u)
 		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "upstream %s cannot be reached", u.Name()).Retry(retryWhenFull)
 	}
 	return o.resume(ctx, u, p, sink, err)
 }
 
+// blame takes a failed call as evidence against the upstream, unless it failed because the caller left.
+func (o *Owner) blame(ctx context.Context, u *routing.Upstream) {
+	if ctx.Err() == nil {
+		o.observer.Observe(u.Name(), false)
+	}
+}
+
 // Resume brings the rest of an answer from the upstream to the sink.
 func (o *Owner) Resume(ctx context.Context, u *routing.Upstream, p *delivery.Progress, sink delivery.Sink) error {
 	return o.resume(ctx, u, p, sink, delivery.ErrBroken)
@@ -100,7 +107,7 @@
 			return refused
 		}
 		if try == maxResumes || (p.Next == 0 && try == maxEmptyResumes) {
-			o.observer.Observe(u.Name(), false)
+			o.blame(ctx, u)
 			return work.Uncertain(work.UpstreamFailed, "upstream %s broke off at position %d: %v", u.Name(), p.Next, err)
 		}
 		pause.For(ctx, resumeBackoff<<try)
--- a/jackdawd/internal/dispatch/peer.go
+++ b/jackdawd/internal/dispatch/peer.go
@@ -90,11 +90,11 @@
 }
 
 // PeerHandler returns the handler of items that other entry hosts pass on.
-func PeerHandler(owner *Owner, secret string, stopping func() bool) http.Handler {
+func PeerHandler(owner *Owner, secrets []string, stopping func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Callers can perhaps reach this address too; without the secret they
 		// could skip authentication and name another's workspace.
-		if subtle.ConstantTimeCompare([]byte(r.Header.Get(secretHeader)), []byte(secret)) != 1 {
+		if !isOneOf(r.Header.Get(secretHeader), secrets) {
 			work.Refuse(http.StatusForbidden, work.Forbidden, "the fleet secret is wrong").Write(w)
 			return
 		}
@@ -162,3 +162,12 @@
 	}
 	return f.out.Flush()
 }
+
+// isOneOf reports whether a secret is one of those given, in a time that does not depend on it.
+func isOneOf(secret string, secrets []string) bool {
+	match := 0
+	for _, s := range secrets {
+		match |= subtle.ConstantTimeCompare([]byte(secret), []byte(s))
+	}
+	return match == 1
+}
--- a/jackdawd/internal/dispatch/router.go
+++ b/jackdawd/internal/dispatch/router.go
@@ -183,6 +183,11 @@
 		return j.owner.Serve(ctx, &item, u.Name(), j.attempt, j.take)
 	}
 	move, err := j.peer.Serve(ctx, host, &item, u.Name(), j.attempt, j.take)
+	if err != nil && (ctx.Err() != nil || errors.Is(err, delivery.ErrSink)) {
+		// The caller left, which ends the call like a broken connection would. Taken
+		// for the owner's failure, three impatient callers would make a sound owner avoided.
+		return Move{}, work.Uncertain(work.Cancelled, "the caller left")
+	}
 	var refusal *work.Refusal
 	if errors.As(err, &refusal) && refusal.Code == work.Stopping {
 		j.excluded = append(j.excluded, host.Name())
--- a/jackdawd/internal/dispatch/router_test.go
+++ b/jackdawd/internal/dispatch/router_test.go
@@ -68,6 +68,7 @@
 		text, err := f.answer(t.Context(), item, nil)
 		require.NoError(t, err)
 		require.Equal(t, words(5), text)
+		require.Empty(t, f.owners[f.stopping].queues)
 	})
 }
 
@@ -264,6 +265,10 @@
 		_, err := f.answer(ctx, f.itemOwnedElsewhere(10), func(int) { leave() })
 		require.Error(t, err)
 		<-cancelled
+		f.evidence.against.Range(func(name, _ any) bool {
+			t.Errorf("%s is blamed for a caller that left", name)
+			return true
+		})
 	})
 }
 
--- a/jackdawd/internal/dispatch/service.go
+++ b/jackdawd/internal/dispatch/service.go
@@ -20,15 +20,15 @@
 
 // callService passes a call through to a plain service and its answer back in one frame.
 func (o *Owner) callService(ctx context.Context, item *work.Item, u *routing.Upstream, sink delivery.Sink) error {
-	ctx, cancel := context.WithTimeout(ctx, firstFrameTimeout)
+	inTime, cancel := context.WithTimeout(ctx, firstFrameTimeout)
 	defer cancel()
-	answer, err := o.askService(ctx, item, u)
+	answer, err := o.askService(inTime, item, u)
 	if delivery.NeverSent(err) {
-		o.observer.Observe(u.Name(), false)
+		o.blame(ctx, u)
 		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "upstream %s cannot be reached", u.Name()).Retry(retryWhenFull)
 	}
 	if err != nil {
-		o.observer.Observe(u.Name(), false)
+		o.blame(ctx, u)
 		return work.Uncertain(work.UpstreamFailed, "upstream %s gave no whole answer: %v", u.Name(), err)
 	}
 	o.observer.Observe(u.Name(), true)
--- a/jackdawd/internal/node/node.go
+++ b/jackdawd/internal/node/node.go
@@ -63,7 +63,7 @@
 	router := dispatch.NewRouter(n.control.View, n.owner, dispatch.NewHTTPPeer(client, s.FleetSecret), client, n.control, meter)
 	executor := ledger.NewExecutor(&fleetClaims{views: n.control.View, keeper: n.keeper, peers: n.peers})
 	handler := intake.NewHandler(n.control.View, router, executor, meter, s.MaxBodyBytes)
-	server, err := peers.NewServer(s.Listen.Control, s.FleetSecret, map[string]any{
+	server, err := peers.NewServer(s.Listen.Control, s.Secrets(), map[string]any{
 		"Control": &controlService{node: n}, "Ledger": &ledgerService{keeper: n.keeper},
 	})
 	if err != nil {
@@ -96,7 +96,7 @@
 	n.callers.HandlePrefix(intake.ServicePath, http.HandlerFunc(handler.ServeService))
 	n.callers.ReadHeaderTimeout = headerTimeout
 	n.inner = khttp.NewServer(khttp.Address(n.settings.Listen.Peers), khttp.Timeout(0))
-	n.inner.Handle(dispatch.PeerPath, dispatch.PeerHandler(n.owner, n.settings.FleetSecret, n.stopping.Load))
+	n.inner.Handle(dispatch.PeerPath, dispatch.PeerHandler(n.owner, n.settings.Secrets(), n.stopping.Load))
 	n.inner.ReadHeaderTimeout = headerTimeout
 	n.admin = khttp.NewServer(khttp.Address(n.settings.Listen.Admin), khttp.Timeout(0))
 	n.admin.HandlePrefix("/", admin.Handler(n, meter.Handler()))
--- a/jackdawd/internal/settings/settings.go
+++ b/jackdawd/internal/settings/settings.go
@@ -42,10 +42,12 @@
 		Control string `json:"control"`
 		Admin   string `json:"admin"`
 	} `json:"listen"`
-	LogService  string           `json:"log-service"`
-	HostList    string           `json:"host-list"`
-	FleetSecret string           `json:"fleet-secret"`
-	StopWithin  targets.Duration `json:"stop-within"`
+	LogService  string `json:"log-service"`
+	HostList    string `json:"host-list"`
+	FleetSecret string `json:"fleet-secret"`
+	// AlsoAcceptSecret is a second secret that other processes may show, while one is being replaced.
+	AlsoAcceptSecret string           `json:"also-accept-secret"`
+	StopWithin       targets.Duration `json:"stop-within"`
 	// UnreadyFor is how long a stopping host still takes requests after readiness has gone false.
 	UnreadyFor   targets.Duration `json:"unready-for"`
 	MaxBodyBytes int64            `json:"max-body-bytes"`
@@ -97,6 +99,9 @@
 	if len(s.FleetSecret) < minSecretBytes {
 		return &targets.FieldError{Field: "fleet-secret", Problem: "must have at least 16 bytes"}
 	}
+	if s.AlsoAcceptSecret != "" && len(s.AlsoAcceptSecret) < minSecretBytes {
+		return &targets.FieldError{Field: "also-accept-secret", Problem: "must have at least 16 bytes"}
+	}
 	if s.StopWithin <= 0 {
 		return &targets.FieldError{Field: "stop-within", Problem: "must be over 0"}
 	}
@@ -151,3 +156,11 @@
 	}
 	return nil
 }
+
+// Secrets returns the secrets that other processes of the fleet may show.
+func (s Settings) Secrets() []string {
+	if s.AlsoAcceptSecret == "" {
+		return []string{s.FleetSecret}
+	}
+	return []string{s.FleetSecret, s.AlsoAcceptSecret}
+}
--- a/jackdawd/internal/settings/settings_test.go
+++ b/jackdawd/internal/settings/settings_test.go
@@ -23,6 +23,7 @@
 		"no port":                {`127.0.0.1:4`, `127.0.0.1`, "listen.admin"},
 		"no URL":                 {`http://127.0.0.1:5"`, `127.0.0.1:5"`, "log-service"},
 		"short secret":           {`0123456789abcdef`, `0123`, "fleet-secret"},
+		"short second secret":    {`{"name"`, `{"also-accept-secret":"0123","name"`, "also-accept-secret"},
 		"unknown key":            {`{"name"`, `{"colour":1,"name"`, "colour"},
 		"bad duration":           {`{"name"`, `{"stop-within":"soon","name"`, "soon"},
 		"unready for too long":   {`{"name"`, `{"stop-within":"5s","unready-for":"5s","name"`, "unready-for"},
