--- a/common/report/report.go
+++ b/common/report/report.go
@@ -27,6 +27,17 @@
 	Limit         int64   `json:"limit"`
 }
 
+// A Class is how a host's callers of one class of work fared since its start;
+// FirstToken is the time to the first token that 95 in 100 of the latest answers kept.
+type Class struct {
+	Name       string           `json:"name"`
+	Target     targets.Duration `json:"first-token-within"`
+	FirstToken targets.Duration `json:"first-token-p95"`
+	Answered   int64            `json:"answered"`
+	Late       int64            `json:"late"`
+	Refused    int64            `json:"refused"`
+}
+
 // A Status is what a host believes, and how old the host list is that it rests on.
 type Status struct {
 	Host       string           `json:"host"`
@@ -35,11 +46,13 @@
 	ListAge    targets.Duration `json:"list-age"`
 	Moved      int              `json:"moved-chats"`
 	EntryHosts []string         `json:"entry-hosts"`
+	Classes    []Class          `json:"classes"`
 	Upstreams  []Upstream       `json:"upstreams"`
 }
 
-// Sort puts the upstreams in order of model and name.
+// Sort puts the classes in order of name, and the upstreams of model and name.
 func (s *Status) Sort() {
+	slices.SortFunc(s.Classes, func(a, b Class) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(s.Upstreams, func(a, b Upstream) int {
 		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Name, b.Name))
 	})
--- a/jackdaw/internal/cmd/statuscmd.go
+++ b/jackdaw/internal/cmd/statuscmd.go
@@ -32,6 +32,9 @@
 					status.Host, status.Ready, status.Revision, time.Duration(status.ListAge), len(status.EntryHosts), status.Moved); err != nil {
 					return err
 				}
+				if err := printClasses(w, status.Classes); err != nil {
+					return err
+				}
 				return printUpstreams(w, status.Upstreams)
 			})
 		},
@@ -64,6 +67,19 @@
 	return cmd
 }
 
+func printClasses(out io.Writer, classes []report.Class) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(w, "CLASS\tTARGET\tFIRST TOKEN P95\tANSWERED\tLATE\tREFUSED"); err != nil {
+		return err
+	}
+	for _, c := range classes {
+		if _, err := fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\n", c.Name, time.Duration(c.Target), time.Duration(c.FirstToken), c.Answered, c.Late, c.Refused); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
 func printUpstreams(out io.Writer, upstreams []report.Upstream) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	if _, err := fmt.Fprintln(w, "UPSTREAM\tMODEL\tDOMAIN\tOWNER\tLOAD\tMEAN\tWAITING\tLIMIT"); err != nil {
--- a/jackdawd/internal/admin/handler.go
+++ b/jackdawd/internal/admin/handler.go
@@ -9,6 +9,7 @@
 	"jackdawhinge/common/report"
 	"jackdawhinge/common/targets"
 	"jackdawhinge/jackdawd/internal/routing"
+	"jackdawhinge/jackdawd/internal/telemetry"
 )
 
 // A Host is what the interface shows.
@@ -18,6 +19,7 @@
 	Depth(u *routing.Upstream) (requests int, tokens, limit int64)
 	Ready() bool
 	ListAge() time.Duration
+	Tally(class string) telemetry.Tally
 	Claims(ctx context.Context, workspace, key string) report.Claims
 }
 
@@ -58,6 +60,13 @@
 	for _, h := range view.Hosts() {
 		s.EntryHosts = append(s.EntryHosts, h.Name())
 	}
+	for name, class := range view.Document().Classes {
+		t := host.Tally(name)
+		s.Classes = append(s.Classes, report.Class{
+			Name: name, Target: class.FirstTokenWithin, FirstToken: targets.Duration(t.FirstToken.Round(time.Millisecond)),
+			Answered: t.Answered, Late: t.Late, Refused: t.Refused,
+		})
+	}
 	for _, pool := range view.Pools() {
 		for _, u := range pool.Upstreams() {
 			s.Upstreams = append(s.Upstreams, upstreamStatus(host, view, pool, u))
--- a/jackdawd/internal/intake/handler.go
+++ b/jackdawd/internal/intake/handler.go
@@ -51,7 +51,7 @@
 
 // A Meter counts what callers were given.
 type Meter interface {
-	Answered(class string, firstToken, total time.Duration)
+	Answered(class string, target, firstToken, total time.Duration)
 	Refused(class string, refusal *work.Refusal)
 }
 
@@ -159,7 +159,7 @@
 	}
 	err := h.run(ctx, r.Header.Get(KeyHeader), c, item, body, sink)
 	if err == nil {
-		h.meter.Answered(c.class, firstToken, time.Since(begin))
+		h.meter.Answered(c.class, time.Duration(c.target.FirstTokenWithin), firstToken, time.Since(begin))
 		return
 	}
 	var refusal *work.Refusal
--- a/jackdawd/internal/ledger/executor_test.go
+++ b/jackdawd/internal/ledger/executor_test.go
@@ -186,6 +186,22 @@
 	})
 }
 
+// The log is slow: the claim's append takes ten seconds. The caller is told "not-run"
+// before; the claim lands late, followed by its void, so that the key is free again
+// and a repeat, once the log is quick, is executed.
+func TestLogSlow(t *testing.T) {
+	with(t, func(t *testing.T, r *registry) {
+		slow := NewKeeper(slowLog{r.log, 10 * time.Second})
+		r.keep = append(r.keep, slow)
+		_, err := r.post(NewExecutor(localClaims{slow}), "entry-7", "body")
+		require.Equal(t, work.NotRun, outcomeOf(t, err))
+		time.Sleep(time.Minute)
+		_, err = r.post(r.hosts[1], "entry-7", "body")
+		require.NoError(t, err)
+		require.EqualValues(t, 1, r.executed.Load())
+	})
+}
+
 // The log is down. The caller is told "not-run" at once, and nothing is executed,
 // then or when the log is back; a repeat then is.
 func TestLogDown(t *testing.T) {
--- a/jackdawd/internal/node/node.go
+++ b/jackdawd/internal/node/node.go
@@ -38,6 +38,7 @@
 	keeper   *ledger.Keeper
 	peers    *peers.Client
 	server   *peers.Server
+	meter    *telemetry.Meter
 	callers  *khttp.Server
 	inner    *khttp.Server
 	admin    *khttp.Server
@@ -60,6 +61,7 @@
 	client := delivery.NewClient()
 	n.owner = dispatch.NewOwner(n.control.View, n.board, client, n.control)
 	meter := telemetry.NewMeter()
+	n.meter = meter
 	router := dispatch.NewRouter(n.control.View, n.owner, dispatch.NewHTTPPeer(client, s.FleetSecret), client, n.control, meter)
 	executor := ledger.NewExecutor(&fleetClaims{views: n.control.View, keeper: n.keeper, peers: n.peers})
 	handler := intake.NewHandler(n.control.View, router, executor, meter, s.MaxBodyBytes)
@@ -116,6 +118,9 @@
 	return n.owner.Depth(u)
 }
 
+// Tally returns what the callers of a class were given since the start.
+func (n *Node) Tally(class string) telemetry.Tally { return n.meter.Tally(class) }
+
 // Claims returns what the log holds of a workspace's idempotency key.
 func (n *Node) Claims(ctx context.Context, workspace, key string) report.Claims {
 	return n.keeper.History(ctx, workspace, key)
--- a/jackdawd/internal/telemetry/meter.go
+++ b/jackdawd/internal/telemetry/meter.go
@@ -15,6 +15,8 @@
 const (
 	reservoirSize  = 1028
 	reservoirAlpha = 0.015
+	// targetPercentile is the share of answers that must begin within the target.
+	targetPercentile = 0.95
 	// labelMark separates a metric's name from its label's name and value in the registry.
 	labelMark = "|"
 )
@@ -37,10 +39,39 @@
 	return &Meter{registry: metrics.NewRegistry()}
 }
 
-// Answered counts a whole answer.
-func (m *Meter) Answered(class string, firstToken, total time.Duration) {
+// Answered counts a whole answer, and whether it began within the class's target.
+func (m *Meter) Answered(class string, target, firstToken, total time.Duration) {
 	m.timer("first_token_seconds", class).Update(firstToken)
 	m.timer("answer_seconds", class).Update(total)
+	if firstToken > target {
+		m.late(class).Inc(1)
+	}
+}
+
+// A Tally is what the callers of one class were given since the host's start.
+type Tally struct {
+	Answered int64
+	Late     int64
+	Refused  int64
+	// FirstToken is the time to the first token that 95 in 100 of the latest answers kept.
+	FirstToken time.Duration
+}
+
+// Tally returns what the callers of a class were given.
+func (m *Meter) Tally(class string) Tally {
+	first := m.timer("first_token_seconds", class)
+	t := Tally{Answered: first.Count(), Late: m.late(class).Count(), FirstToken: time.Duration(first.Percentile(targetPercentile))}
+	prefix := strings.Join([]string{"refusals", "class", class, ""}, labelMark)
+	m.registry.Each(func(name string, metric any) {
+		if c, ok := metric.(metrics.Counter); ok && strings.HasPrefix(name, prefix) {
+			t.Refused += c.Count()
+		}
+	})
+	return t
+}
+
+func (m *Meter) late(class string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(strings.Join([]string{"late_answers", "class", class}, labelMark), m.registry)
 }
 
 // Refused counts a refusal.
