--- a/jackdawd/internal/ledger/partition.go
+++ b/jackdawd/internal/ledger/partition.go
@@ -16,10 +16,8 @@
 )
 
 const (
-	// appendEvery is the least time between two appends to a partition: claims that come between share one.
-	appendEvery = 800 * time.Millisecond
-	readWait    = 30 * time.Second
-	retryEvery  = 500 * time.Millisecond
+	readWait   = 30 * time.Second
+	retryEvery = 500 * time.Millisecond
 	// claimTimeout is how long a claim may take to be read back.
 	claimTimeout = 2500 * time.Millisecond
 	// maxAppend bounds the records of one append.
@@ -171,21 +169,29 @@
 	return nil
 }
 
-// append writes what is pending, at most once each appendEvery.
+// append writes what is pending, no faster than the pacer allows. What comes while
+// it waits goes along.
 func (p *Partition) append(ctx context.Context) {
+	pace := newPacer(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.wake:
 		}
-		for batch := p.take(); len(batch) > 0 && ctx.Err() == nil; batch = p.take() {
-			p.appendBatch(ctx, batch)
-			pause.For(ctx, appendEvery)
+		for p.hasPending() && ctx.Err() == nil {
+			pause.For(ctx, pace.next(time.Now()))
+			p.appendBatch(ctx, p.take())
 		}
 	}
 }
 
+func (p *Partition) hasPending() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.pending) > 0
+}
+
 // appendBatch appends a batch, again if its answer is lost: a record that then
 // stands twice counts once, since claims, voids and outcomes are idempotent.
 func (p *Partition) appendBatch(ctx context.Context, batch []json.RawMessage) {
