--- a/common/report/claims.go
+++ b/common/report/claims.go
@@ -22,6 +22,14 @@
 	ClaimUncertain ClaimState = "uncertain"
 )
 
+// A Ledger is how a host follows the claim streams: how many it follows, how many
+// of them it has read to their end, and the idempotency keys that it knows.
+type Ledger struct {
+	Followed int `json:"followed"`
+	Read     int `json:"read"`
+	Keys     int `json:"keys"`
+}
+
 // A Claim is one attempt to execute a keyed request, as the log tells it.
 type Claim struct {
 	ID     string           `json:"id"`
--- a/common/report/report.go
+++ b/common/report/report.go
@@ -46,6 +46,7 @@
 	ListAge    targets.Duration `json:"list-age"`
 	Moved      int              `json:"moved-chats"`
 	EntryHosts []string         `json:"entry-hosts"`
+	Ledger     Ledger           `json:"ledger"`
 	Classes    []Class          `json:"classes"`
 	Upstreams  []Upstream       `json:"upstreams"`
 }
--- a/jackdaw/internal/cmd/statuscmd.go
+++ b/jackdaw/internal/cmd/statuscmd.go
@@ -32,6 +32,10 @@
 					status.Host, status.Ready, status.Revision, time.Duration(status.ListAge), len(status.EntryHosts), status.Moved); err != nil {
 					return err
 				}
+				if _, err := fmt.Fprintf(w, "ledger: %d claim streams followed, %d read, %d keys known\n",
+					status.Ledger.Followed, status.Ledger.Read, status.Ledger.Keys); err != nil {
+					return err
+				}
 				if err := printClasses(w, status.Classes); err != nil {
 					return err
 				}
--- a/jackdawd/internal/admin/handler.go
+++ b/jackdawd/internal/admin/handler.go
@@ -19,6 +19,7 @@
 	Depth(u *routing.Upstream) (requests int, tokens, limit int64)
 	Ready() bool
 	ListAge() time.Duration
+	Ledger() report.Ledger
 	Tally(class string) telemetry.Tally
 	Claims(ctx context.Context, workspace, key string) report.Claims
 }
@@ -56,6 +57,7 @@
 		Revision: view.Revision(),
 		ListAge:  targets.Duration(host.ListAge().Round(time.Millisecond)),
 		Moved:    host.Board().Moves(),
+		Ledger:   host.Ledger(),
 	}
 	for _, h := range view.Hosts() {
 		s.EntryHosts = append(s.EntryHosts, h.Name())
--- a/jackdawd/internal/dispatch/router_test.go
+++ b/jackdawd/internal/dispatch/router_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
 
 	"jackdawhinge/common/peers"
 	"jackdawhinge/common/roster"
@@ -26,6 +28,23 @@
 	})
 }
 
+// The caller sends trace context. The upstream receives the same trace, two hops on.
+func TestTraceReachesUpstream(t *testing.T) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	var got string
+	traced := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Get("Traceparent")
+		encodeFrame(w, upstream.Frame{RequestID: r.Header.Get(upstream.RequestIDHeader), Finish: upstream.FinishStop})
+	})
+	run(t, 2, 1, map[string]http.Handler{"engine-0": traced}, func(t *testing.T, f *fleet) {
+		sent := http.Header{"Traceparent": {"00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"}}
+		ctx := otel.GetTextMapPropagator().Extract(t.Context(), propagation.HeaderCarrier(sent))
+		_, err := f.answer(ctx, f.itemOwnedElsewhere(1), nil)
+		require.NoError(t, err)
+		require.Contains(t, got, "0af7651916cd43dd8448eb211c80319c")
+	})
+}
+
 // The owner's host dies in the middle of an answer. The caller sees the whole
 // answer all the same: the entry host resumes it straight from the engine, at the
 // position reached, and the engine generates it only once.
--- a/jackdawd/internal/ledger/executor_test.go
+++ b/jackdawd/internal/ledger/executor_test.go
@@ -286,6 +286,25 @@
 	})
 }
 
+// A host owns one partition and was asked once for another. After a quiet hour it
+// still follows the first, which it would else read again from the beginning, and
+// has let go of the second.
+func TestOwnedPartitionIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := NewKeeper(platform.NewLog())
+		k.Warm(func(n uint64) bool { return n == 1 })
+		_, asked := k.open(2)
+		require.True(t, asked)
+		owned := k.parts[1]
+		time.Sleep(time.Hour)
+		k.open(3)
+		require.Same(t, owned, k.parts[1])
+		require.NotContains(t, k.parts, uint64(2))
+		k.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
 // A hundred claims come within a moment. They share appends: the rate of appends
 // is a burst and then 1.25 a second for the partition.
 func TestClaimsShareAppends(t *testing.T) {
--- a/jackdawd/internal/ledger/history.go
+++ b/jackdawd/internal/ledger/history.go
@@ -47,6 +47,28 @@
 	return p.fold.History(time.Now(), key), whole
 }
 
+// Report returns how the keeper follows the claim streams.
+func (k *Keeper) Report() report.Ledger {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r := report.Ledger{Followed: len(k.parts)}
+	for _, p := range k.parts {
+		keys, read := p.known()
+		r.Keys += keys
+		if read {
+			r.Read++
+		}
+	}
+	return r
+}
+
+// known returns how many keys the partition knows and whether it has been read to its end.
+func (p *Partition) known() (keys int, read bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fold.Keys(), p.caught
+}
+
 // History returns what the log holds of a workspace's idempotency key. It only
 // reads: asking claims nothing.
 func (k *Keeper) History(ctx context.Context, workspace, key string) report.Claims {
--- a/jackdawd/internal/ledger/keeper.go
+++ b/jackdawd/internal/ledger/keeper.go
@@ -30,6 +30,7 @@
 	journal Journal
 	mu      sync.Mutex
 	parts   map[uint64]*Partition
+	owned   map[uint64]bool
 	closed  bool
 }
 
@@ -38,7 +39,7 @@
 
 // NewKeeper returns a keeper without partitions.
 func NewKeeper(j Journal) *Keeper {
-	return &Keeper{journal: j, parts: map[uint64]*Partition{}}
+	return &Keeper{journal: j, parts: map[uint64]*Partition{}, owned: map[uint64]bool{}}
 }
 
 // Claim claims a key in its partition.
@@ -59,15 +60,24 @@
 	return p.End(args)
 }
 
-// Warm starts to read the partitions that this host owns, before the first claim asks for them.
+// Warm starts to read the partitions that this host owns, before the first claim
+// asks for them, and keeps them however quiet they are: reading one again costs as
+// much as the log has kept of it.
 func (k *Keeper) Warm(owned func(partition uint64) bool) {
 	for n := range uint64(Partitions) {
+		k.setOwned(n, owned(n))
 		if owned(n) {
 			k.open(n)
 		}
 	}
 }
 
+func (k *Keeper) setOwned(n uint64, owned bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.owned[n] = owned
+}
+
 // Close stops every partition.
 func (k *Keeper) Close() {
 	k.mu.Lock()
@@ -86,12 +96,7 @@
 	if k.closed {
 		return nil, false
 	}
-	for other, p := range k.parts {
-		if other != n && time.Since(p.IdleSince()) > partitionIdle {
-			p.Close()
-			delete(k.parts, other)
-		}
-	}
+	k.closeIdle(n)
 	p, ok := k.parts[n]
 	if !ok {
 		p = NewPartition(k.journal, fmt.Sprintf("claims-%03d", n))
@@ -99,3 +104,13 @@
 	}
 	return p, true
 }
+
+// closeIdle stops the partitions that another host owns by now and nobody asks this one for.
+func (k *Keeper) closeIdle(except uint64) {
+	for n, p := range k.parts {
+		if n != except && !k.owned[n] && time.Since(p.IdleSince()) > partitionIdle {
+			p.Close()
+			delete(k.parts, n)
+		}
+	}
+}
--- a/jackdawd/internal/node/node.go
+++ b/jackdawd/internal/node/node.go
@@ -118,6 +118,9 @@
 	return n.owner.Depth(u)
 }
 
+// Ledger returns how the node follows the claim streams.
+func (n *Node) Ledger() report.Ledger { return n.keeper.Report() }
+
 // Tally returns what the callers of a class were given since the start.
 func (n *Node) Tally(class string) telemetry.Tally { return n.meter.Tally(class) }
 
