--- a/jackdawd/internal/routing/board_test.go
+++ b/jackdawd/internal/routing/board_test.go
@@ -174,6 +174,19 @@
 	require.Equal(t, smaller.Rank(7)[0], at)
 }
 
+// A request has been moved twice and meets a third full engine. It waits there: moved
+// on and on, it would use up its tries while every engine has room in a moment.
+func TestMovedTwiceWaits(t *testing.T) {
+	p := testPool(testHosts(4))
+	b := owningBoard(p)
+	at := p.Rank(7)[0]
+	b.Start(at, 90_000)
+	placement, _ := b.Place(start, p, Candidate{Chat: 7, At: at, Cost: 1000, Attempt: LastAttempt - 1})
+	require.Equal(t, Moved, placement)
+	placement, _ = b.Place(start, p, Candidate{Chat: 7, At: at, Cost: 1000, Attempt: LastAttempt})
+	require.Equal(t, Wait, placement)
+}
+
 // Rows travel by way of third hosts. Of two rows on one engine the newer counts,
 // whichever arrives first, and a row that has grown old counts no more.
 func TestMergeKeepsNewestRow(t *testing.T) {
