--- a/capacity/internal/plan/slope.go
+++ b/capacity/internal/plan/slope.go
@@ -38,6 +38,8 @@
 	{"view-time", "View/engines", "ns/op", false},
 	{"view-bytes-upstream", "Bytes/upstreams", "B", false},
 	{"view-bytes-host", "Bytes/hosts", "B", false},
+	{"view-time-host", "ViewHosts/hosts", "ns/op", false},
+	{"moved-chat-time", "MovedChat/chats", "ns/op", false},
 	{"moved-chat-bytes", "Bytes/moved-chats", "B/chat", true},
 	{"checkpoint-bytes", "Configuration/workspaces", "checkpoint-B", false},
 	{"change-time", "Configuration/workspaces", "ns/op", false},
--- a/capacity/internal/plan/tables.go
+++ b/capacity/internal/plan/tables.go
@@ -137,6 +137,9 @@
 		{"control", "view", "whole, rebuilt on change", megabytes, func(s size) float64 {
 			return m.at("view-bytes-upstream", s.upstreams) + m.perOne("view-bytes-host")*s.hostsPerRegion
 		}},
+		{"control", "a new view, on each change of list, configuration or evidence", "whole, rebuilt on change", milli, func(s size) float64 {
+			return m.at("view-time", s.upstreams)
+		}},
 		{"control", "moved chats remembered", "sharded by owner, LRU of 65,536", megabytes, func(s size) float64 {
 			return math.Min(s.chats*movedShare/s.nodes, 1<<16) * m.perOne("moved-chat-bytes")
 		}},
@@ -212,6 +215,7 @@
 
 func number(v float64) string    { return fmt.Sprintf("%.3g", v) }
 func micro(v float64) string     { return fmt.Sprintf("%.2g µs", v/1e3) }
+func milli(v float64) string     { return fmt.Sprintf("%.2g ms", v/1e6) }
 func percent(v float64) string   { return fmt.Sprintf("%.2f%%", 100*v) }
 func perSecond(v float64) string { return fmt.Sprintf("%.0f B/s", v) }
 func megabytes(v float64) string { return fmt.Sprintf("%.2g MB", v/(1<<20)) }
--- a/jackdawd/internal/node/node_bench_test.go
+++ b/jackdawd/internal/node/node_bench_test.go
@@ -208,6 +208,9 @@
 	return pool.Upstreams()[0].Hash()
 }
 
+// frameLine is one token as it passes between hosts.
+const frameLine = `{"request-id":"01234567-89ab-cdef-0123-456789abcdef","position":1234,"text":"word "}` + "\n"
+
 // BenchmarkStreaming reports the processor time of a token that two hosts stream,
 // one before the owner and the owner, callers and engine included in one process.
 func BenchmarkStreaming(b *testing.B) {
@@ -235,6 +238,7 @@
 			all := float64(b.N*streams) * tokens
 			perSecond := all / b.Elapsed().Seconds()
 			b.ReportMetric(perSecond, "tokens/s")
+			b.ReportMetric(float64(len(frameLine)), "hop-B/token")
 			b.ReportMetric(float64(runtime.GOMAXPROCS(0))*1e9/perSecond, "core-ns/token")
 			b.ReportMetric(float64(after.Mallocs-before.Mallocs)/all, "allocs/token")
 		})
--- a/jackdawd/internal/routing/board_test.go
+++ b/jackdawd/internal/routing/board_test.go
@@ -251,3 +251,30 @@
 		})
 	}
 }
+
+// BenchmarkViewHosts is the cost of a new view against the entry hosts known.
+func BenchmarkViewHosts(b *testing.B) {
+	for _, hosts := range []int{9, 90, 360} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				benchView(220, hosts)
+			}
+		})
+	}
+}
+
+// BenchmarkMovedChat is the decision on a chat that was moved, against the chats remembered.
+func BenchmarkMovedChat(b *testing.B) {
+	for _, chats := range []int{1000, 8000, 64000} {
+		b.Run(fmt.Sprintf("chats=%d", chats), func(b *testing.B) {
+			p := testPool(testHosts(38))
+			board := owningBoard(p)
+			for chat := range uint64(chats) {
+				board.remember(start, Candidate{Chat: chat}, p.Upstreams()[0])
+			}
+			for i := uint64(0); b.Loop(); i++ {
+				board.Place(start, p, Candidate{Chat: i * 7919 % uint64(chats), At: p.Upstreams()[1], Cost: 100, Returning: true})
+			}
+		})
+	}
+}
