--- a/capacity/internal/plan/tables.go
+++ b/capacity/internal/plan/tables.go
@@ -48,8 +48,8 @@
 }
 
 var sizes = []size{
-	{"Skanpoczta today", 9, 14, 9, 2, 10, 5e3, 50, 1.4e4, 20},
-	{"Registry today", 9, 23, 9, 2, 10, 5e3, 80, 2.3e4, 20},
+	{"letters today", 9, 14, 9, 2, 10, 5e3, 50, 1.4e4, 20},
+	{"register today", 9, 23, 9, 2, 10, 5e3, 80, 2.3e4, 20},
 	{"target", 360, 880, 180, 23, 620, 1.8e6, 14000, 4e6, 2400},
 }
 
