--- a/jackdawd/internal/control/controller_test.go
+++ b/jackdawd/internal/control/controller_test.go
@@ -271,6 +271,34 @@
 	})
 }
 
+// Two of four hosts are replaced at once. The new ones are ready within seconds, with
+// the revision that the others have, and all take the next change.
+func TestHalfTheHostsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		names := []string{"entry-1", "entry-2", "entry-3", "entry-4"}
+		b := newBench(names...)
+		defer b.close()
+		for _, name := range names {
+			b.start(name)
+		}
+		settle()
+		b.change(t, "first", 0, 0.1)
+		settle()
+		for _, name := range names[:2] {
+			b.peers[name].Close()
+			b.start(name)
+		}
+		for revision := int64(1); revision <= 2; revision++ {
+			settle()
+			for _, c := range b.peers {
+				require.True(t, c.Ready())
+				require.Equal(t, revision, c.View().Revision())
+			}
+			b.change(t, fmt.Sprint(revision), revision, 0.2)
+		}
+	})
+}
+
 // A leaving upstream is out of every host's view within two seconds.
 func TestLeavingUpstream(t *testing.T) {
 	oneHost(t, func(t *testing.T, b *bench, c *Controller) {
--- a/jackdawd/internal/dispatch/fleet_test.go
+++ b/jackdawd/internal/dispatch/fleet_test.go
@@ -157,6 +157,23 @@
 	}
 }
 
+// moveChat makes the owner of an item's first engine remember its chat at another, which it returns.
+func (f *fleet) moveChat(t *testing.T, item *work.Item) *routing.Upstream {
+	t.Helper()
+	home, owner := f.first(item)
+	pool, _ := f.view[owner].Pool(testModel)
+	board := f.owners[owner].board
+	for _, u := range pool.Upstreams() {
+		board.Merge(time.Now(), []routing.Row{{Upstream: u.Hash()}})
+	}
+	at, _ := pool.Find(home)
+	board.Start(at, 90_000)
+	defer board.Finish(at, 90_000)
+	_, to := board.Move(time.Now(), pool, routing.Candidate{Chat: item.Chat, At: at, Cost: 10, Returning: true})
+	require.NotEqual(t, home, to.Name())
+	return to
+}
+
 // answer routes an item from entry-0 and returns its text; at is called before each frame is taken.
 func (f *fleet) answer(ctx context.Context, item *work.Item, at func(position int)) (string, error) {
 	var text strings.Builder
--- a/jackdawd/internal/dispatch/router_test.go
+++ b/jackdawd/internal/dispatch/router_test.go
@@ -89,24 +89,6 @@
 	})
 }
 
-// An engine takes a request, closes the connection without a frame, and refuses to
-// resume as "full". The caller must not read "not-run": that was said of resuming.
-// An engine answers only after the request was given up and answered by another.
-// The caller sees one answer, and nothing of the late one.
-// An engine refuses connections. The caller sees its answer from the chat's next
-// engine: a refused connection proves that the request was not run there.
-// A chat was moved to an engine that then dies; one host owns that engine and the
-// others. The caller sees its answer from a third engine: the host does not send
-// the chat back to where it remembers it.
-// An engine takes the request and hangs: before its headers, or after them. The
-// caller of an idempotent request sees an answer from another engine; that of a
-// non-idempotent one sees "unknown", since the engine may have run it.
-// An idempotent request hangs on one engine, and every other refuses it. The
-// caller must not read "not-run": the first engine may have run it.
-// An engine mixes up two answers: after three frames it sends another request's.
-// The caller sees none of it: the connection is dropped and the answer resumed.
-// An engine dies in the middle of an answer. The caller sees the part it had and
-// an explicit error: another engine's text could not be spliced onto it.
 // The caller leaves in the middle of its answer. The engine is told to stop, so
 // that it does not generate for nobody.
 func TestCallerLeaves(t *testing.T) {
@@ -135,11 +117,6 @@
 	})
 }
 
-// The host list changes while a request is on its way: the owner no longer knows
-// the engine that the entry host chose. The caller sees its answer; the leaving
-// engine gets no new work.
-// A request waits for a full engine, and the engine is marked as leaving meanwhile.
-// When room comes, the caller is answered by another: a leaving engine gets no new work.
 // An item was moved away from an engine. The next owner takes in the load that it
 // met there, which is newer than any row.
 func TestOwnerTakesInSeenLoads(t *testing.T) {
@@ -162,7 +139,6 @@
 	})
 }
 
-// without returns a view whose list has an engine as leaving.
 // Every engine is down. Callers see "not-run", and the tries made for a hundred
 // of them stay within the retry budget, so that an outage does not multiply load.
 func TestRetryBudgetInOutage(t *testing.T) {
--- a/jackdawd/internal/ledger/executor_test.go
+++ b/jackdawd/internal/ledger/executor_test.go
@@ -159,6 +159,23 @@
 	})
 }
 
+// Both hosts that knew of a finished request are replaced. A new one reads the
+// partition from its beginning before it answers: the same answer, and no second run.
+func TestHostsReplaced(t *testing.T) {
+	with(t, func(t *testing.T, r *registry) {
+		_, err := r.post(r.hosts[0], "entry-7", "body")
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		for _, k := range r.keep {
+			k.Close()
+		}
+		answer, err := r.post(r.addHost(func(c localClaims) Claims { return c }), "entry-7", "body")
+		require.NoError(t, err)
+		require.Equal(t, "entered", answer)
+		require.EqualValues(t, 1, r.executed.Load())
+	})
+}
+
 // A key comes again with another body. It is refused, whoever is asked.
 func TestKeyReusedForAnotherBody(t *testing.T) {
 	with(t, func(t *testing.T, r *registry) {
--- a/jackdawd/internal/routing/board_test.go
+++ b/jackdawd/internal/routing/board_test.go
@@ -190,6 +190,21 @@
 	require.Equal(t, Accept, placement)
 }
 
+// A request is moved on from an engine that was full. It is not sent back there by a
+// row that has not caught up.
+func TestNotMovedBack(t *testing.T) {
+	p := testPool(testHosts(4))
+	b := owningBoard(p)
+	ranked := p.Rank(7)
+	b.Start(ranked[0], 90_000)
+	c := Candidate{Chat: 7, At: ranked[0], Cost: 1000, Returning: true, Attempt: 1}
+	_, to := b.Move(start, p, c)
+	require.Equal(t, ranked[1], to)
+	c.Seen = []Row{{Upstream: ranked[1].Hash(), Load: 90_000}}
+	_, to = b.Move(start, p, c)
+	require.Equal(t, ranked[2], to)
+}
+
 // A request has been moved often and meets one more full engine. It waits there: moved
 // on and on, it would use up its tries while every engine has room in a moment.
 func TestMovedTwiceWaits(t *testing.T) {
