--- a/jackdawd/internal/dispatch/budget.go
+++ b/jackdawd/internal/dispatch/budget.go
@@ -12,20 +12,27 @@
 // A Budget bounds a host's retries to a share of its first tries, so that an
 // outage of upstreams raises the load on the rest by that share at most.
 type Budget struct {
-	mu   sync.Mutex
-	left float64
+	mu    sync.Mutex
+	left  float64
+	share float64
+	most  float64
 }
 
 // NewBudget returns a full budget.
 func NewBudget() *Budget {
-	return &Budget{left: maxRetries}
+	return NewBudgetOf(retryShare, maxRetries)
+}
+
+// NewBudgetOf returns a full budget to which each first try adds a share of a retry, up to the most given.
+func NewBudgetOf(share, most float64) *Budget {
+	return &Budget{left: most, share: share, most: most}
 }
 
 // Earn counts a first try.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.left = min(maxRetries, b.left+retryShare)
+	b.left = min(b.most, b.left+b.share)
 }
 
 // Spend reports whether a retry may be made, and counts it.
--- /dev/null
+++ b/jackdawd/internal/entry/host.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/sirupsen/logrus"
+
+	"jackdawhinge/jackdawd/internal/exchange"
+	"jackdawhinge/jackdawd/internal/membership"
+	"jackdawhinge/jackdawd/internal/placement"
+	"jackdawhinge/jackdawd/internal/relay"
+	"jackdawhinge/jackdawd/internal/telemetry"
+)
+
+const (
+	// leaveWithin is how long the balancer may take to send no new connections to a
+	// host that is not ready: it asks once a second and believes the second answer.
+	leaveWithin = 2500 * time.Millisecond
+	// abortMargin is how much before the end of the grace period what is left is cut
+	// off, so that the process ends by itself.
+	abortMargin = 400 * time.Millisecond
+	// drainTick is how often a stopping host looks whether it is done.
+	drainTick = 50 * time.Millisecond
+	// headerTimeout bounds how long a caller takes to send a request's head.
+	headerTimeout = 10 * time.Second
+	// defaultIdle is the idle timeout while no configuration states one.
+	defaultIdle = 60 * time.Second
+	housekeep   = time.Second
+)
+
+// Protocol translates the heads of requests and answers.
+type Protocol interface {
+	relay.Protocol
+	exchange.Heads
+}
+
+// Options are what a host is made of.
+type Options struct {
+	// Callers, Readiness and Inner are addresses to listen on; Inner serves metrics and may be empty.
+	Callers        string
+	Readiness      string
+	Inner          string
+	FailureDomain  string
+	Protocol       Protocol
+	Configurations membership.Configurations
+	Upstreams      membership.Upstreams
+	Revoke         time.Duration
+	Drain          time.Duration
+	// Grace is how long a stop may take.
+	Grace        time.Duration
+	RetryRatio   float64
+	LoadMultiple float64
+}
+
+// A Host is one entry host.
+type Host struct {
+	options  Options
+	keeper   *membership.Keeper
+	client   *exchange.Client
+	loads    *placement.Loads
+	handler  *relay.Handler
+	idle     *idleConns
+	callers  *khttp.Server
+	ready    *khttp.Server
+	inner    *khttp.Server
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	failed   chan error
+}
+
+// NewHost returns a host that has begun to read the configuration.
+func NewHost(o Options) *Host {
+	h := &Host{options: o, loads: placement.NewLoads(), idle: newIdleConns(), failed: make(chan error, 1)}
+	h.keeper = membership.NewKeeper(membership.Options{
+		Configurations: o.Configurations, Upstreams: o.Upstreams, Uptime: uptime, Revoke: o.Revoke, Drain: o.Drain,
+	})
+	h.client = exchange.NewClient(o.Protocol, nil)
+	h.handler = relay.NewHandler(relay.Options{
+		Protocol: o.Protocol, Members: h.keeper, Client: h.client, Loads: h.loads,
+		Budgets: relay.NewBudgets(o.RetryRatio), Journal: relay.LogJournal{},
+		FailureDomain: o.FailureDomain, LoadMultiple: o.LoadMultiple,
+	})
+	h.serve(telemetry.NewMeter())
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	go func() {
+		ticker := time.NewTicker(housekeep)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-ticker.C:
+				h.idle.sweep(now, h.idleTimeout())
+				h.loads.Forget(now)
+			}
+		}
+	}()
+	return h
+}
+
+// serve sets up the HTTP servers. Every path belongs to callers, so that the
+// library's router, which would redirect some, is passed by.
+func (h *Host) serve(meter *telemetry.Meter) {
+	h.callers = newServer(h.options.Callers, h.handler)
+	h.callers.ConnState = h.idle.note
+	h.ready = newServer(h.options.Readiness, http.HandlerFunc(h.answerReadiness))
+	if h.options.Inner != "" {
+		h.inner = newServer(h.options.Inner, meter.Handler())
+	}
+}
+
+func newServer(address string, handler http.Handler) *khttp.Server {
+	s := khttp.NewServer(khttp.Address(address), khttp.Timeout(0), khttp.Filter(func(http.Handler) http.Handler { return handler }))
+	s.ReadHeaderTimeout = headerTimeout
+	return s
+}
+
+func (h *Host) idleTimeout() time.Duration {
+	if c := h.keeper.Snapshot().Configuration(); c != nil && c.Limits().IdleTimeout > 0 {
+		return c.Limits().IdleTimeout
+	}
+	return defaultIdle
+}
+
+func (h *Host) answerReadiness(w http.ResponseWriter, _ *http.Request) {
+	if h.stopping.Load() || !h.keeper.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Start serves until the context ends or a server fails.
+func (h *Host) Start(ctx context.Context) error {
+	servers := []*khttp.Server{h.callers, h.ready}
+	if h.inner != nil {
+		servers = append(servers, h.inner)
+	}
+	for _, s := range servers {
+		go func() {
+			if err := s.Start(context.WithoutCancel(ctx)); err != nil {
+				h.fail(err)
+			}
+		}()
+	}
+	logrus.WithField("callers", h.options.Callers).Info("entry: The host serves.")
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-h.failed:
+		return fmt.Errorf("serve: %w", err)
+	}
+}
+
+func (h *Host) fail(err error) {
+	select {
+	case h.failed <- err:
+	default:
+	}
+}
+
+// Stop ends the host gracefully: it is no longer ready, goes on serving until the
+// balancer has noticed, and finishes what is in progress inside the grace period.
+func (h *Host) Stop() error {
+	begun := time.Now()
+	h.stopping.Store(true)
+	h.handler.Stopping(begun.Add(leaveWithin))
+	logrus.WithField("in-progress", h.handler.InProgress()).Info("entry: Stopping. Requests in progress finish.")
+	deadline := begun.Add(h.options.Grace - abortMargin)
+	for time.Now().Before(deadline) {
+		if time.Since(begun) > leaveWithin && h.handler.InProgress() == 0 {
+			break
+		}
+		time.Sleep(drainTick)
+	}
+	left := h.handler.InProgress()
+	err := h.close()
+	logrus.WithField("cut-off", left).Info("entry: Stopped.")
+	return err
+}
+
+func (h *Host) close() error {
+	h.cancel()
+	errs := []error{h.callers.Close(), h.ready.Close()}
+	if h.inner != nil {
+		errs = append(errs, h.inner.Close())
+	}
+	h.keeper.Close()
+	h.client.Close()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/jackdawd/internal/membership/keeper.go
@@ -0,0 +1,375 @@
+package membership
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"jackdawhinge/common/pause"
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/control"
+)
+
+const (
+	// longestWait bounds how long one read of the configuration waits for a change.
+	longestWait = time.Second
+	// waitShare is the part of the revocation bound that such a read may wait: with a
+	// fifth, a read that is lost and found out by its timeout leaves time for another
+	// before keys can no longer be honored.
+	waitShare = 5
+	// revokeMargin is how much before the revocation bound keys are no longer honored;
+	// it covers the time from a request's arrival to its being sent on.
+	revokeMargin = 200 * time.Millisecond
+	// drainMargin is taken off the drain bound for the time that a read of the
+	// upstreams takes, to leave a request that is being sent on time to arrive.
+	drainMargin = 200 * time.Millisecond
+	// retryAfter is the pause after a failed read; with jitter of its half, so that
+	// the hosts do not all come back to a recovering store at once.
+	retryAfter = 200 * time.Millisecond
+	// lapseGrace is how long after the store's return an upstream whose entry lapsed
+	// meanwhile is still believed in: live upstreams are back within that time.
+	lapseGrace = 2 * time.Second
+	// tick is how often beliefs that end with time are looked at.
+	tick = 250 * time.Millisecond
+	// inputBuffer bounds what waits for the control goroutine.
+	inputBuffer = 256
+)
+
+// Configurations is where the configuration comes from.
+type Configurations interface {
+	Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, error)
+}
+
+// Upstreams is where the list of upstreams comes from.
+type Upstreams interface {
+	Next(ctx context.Context) (traffic.UpstreamChange, error)
+}
+
+// Options are the parts that a keeper is made of.
+type Options struct {
+	Configurations Configurations
+	Upstreams      Upstreams
+	// Uptime is a steady clock that also counts the time for which the host was suspended.
+	Uptime func() time.Duration
+	// Revoke is how long a revoked key may be honored, Drain how long a leaving upstream may be sent work.
+	Revoke time.Duration
+	Drain  time.Duration
+}
+
+// A Keeper is the one goroutine that holds what a host believes.
+type Keeper struct {
+	options  Options
+	snapshot atomic.Pointer[Snapshot]
+	// heard is when the last read of the configuration that was answered had been sent.
+	heard  atomic.Int64
+	inputs chan func(*beliefs)
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// beliefs is what only the control goroutine touches.
+type beliefs struct {
+	configuration *traffic.Configuration
+	listed        map[string]traffic.Upstream
+	// lapsing holds when an upstream that is no longer listed is given up.
+	lapsing  map[string]time.Time
+	evidence *control.Evidence
+	avoided  map[string]bool
+}
+
+// never stands for a read that was not yet answered.
+const never = -1 << 62
+
+// NewKeeper returns a keeper that has started to read.
+func NewKeeper(o Options) *Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &Keeper{options: o, inputs: make(chan func(*beliefs), inputBuffer), cancel: cancel}
+	k.heard.Store(never)
+	b := &beliefs{listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, evidence: control.NewEvidence()}
+	k.publish(b)
+	k.done.Go(func() { k.run(ctx, b) })
+	k.done.Go(func() { k.followConfiguration(ctx) })
+	k.done.Go(func() { k.followUpstreams(ctx) })
+	return k
+}
+
+// Close stops the keeper; the last snapshot stays.
+func (k *Keeper) Close() {
+	k.cancel()
+	k.done.Wait()
+}
+
+// Snapshot returns what the host believes.
+func (k *Keeper) Snapshot() *Snapshot { return k.snapshot.Load() }
+
+// Age returns how old the configuration may be: the time since the last answered
+// read of it was sent. What was written after that moment is not known here.
+func (k *Keeper) Age() time.Duration {
+	heard := k.heard.Load()
+	if heard == never {
+		return time.Duration(1<<63 - 1)
+	}
+	return k.options.Uptime() - time.Duration(heard)
+}
+
+// HonorsKeys reports whether a key that the configuration holds cannot have been
+// revoked for longer than is allowed.
+func (k *Keeper) HonorsKeys() bool { return k.Age() < k.options.Revoke-revokeMargin }
+
+// Current reports whether the configuration is as new as reads can make it.
+func (k *Keeper) Current() bool { return k.Age() < 2*k.wait()+retryAfter }
+
+// Ready reports whether the host can serve: it knows a configuration that it may act on.
+func (k *Keeper) Ready() bool {
+	c := k.Snapshot().Configuration()
+	return c != nil && (!c.Keyed() || k.HonorsKeys())
+}
+
+// Observe takes in from traffic whether an upstream did what it should; it never
+// blocks, and drops evidence while control is behind.
+func (k *Keeper) Observe(id string, ok bool) {
+	select {
+	case k.inputs <- func(b *beliefs) {
+		if b.evidence.Observe(time.Now(), id, ok) {
+			k.refresh(b)
+		}
+	}:
+	default:
+	}
+}
+
+// Lost takes in that another upstream has the address of this one, which is therefore gone.
+func (k *Keeper) Lost(id string) {
+	select {
+	case k.inputs <- func(b *beliefs) {
+		if _, ok := b.listed[id]; ok {
+			delete(b.listed, id)
+			logrus.WithField("upstream", id).Info("membership: Another upstream has the address. This one is gone.")
+			k.publish(b)
+		}
+	}:
+	default:
+	}
+}
+
+func (k *Keeper) wait() time.Duration {
+	return min(longestWait, k.options.Revoke/waitShare)
+}
+
+func (k *Keeper) run(ctx context.Context, b *beliefs) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case input := <-k.inputs:
+			input(b)
+		case <-ticker.C:
+			k.expire(b, time.Now())
+			k.refresh(b)
+		}
+	}
+}
+
+func (k *Keeper) tell(ctx context.Context, input func(*beliefs)) {
+	select {
+	case k.inputs <- input:
+	case <-ctx.Done():
+	}
+}
+
+// refresh publishes a new snapshot if the evidence speaks against others than before.
+func (k *Keeper) refresh(b *beliefs) {
+	if !maps.Equal(b.avoided, k.avoid(b)) {
+		k.publish(b)
+	}
+}
+
+// avoid returns the upstreams that evidence speaks against, pool by pool.
+func (k *Keeper) avoid(b *beliefs) map[string]bool {
+	pools := map[string][]string{}
+	for id, u := range b.listed {
+		pools[u.Pool] = append(pools[u.Pool], id)
+	}
+	avoid := map[string]bool{}
+	for _, pool := range pools {
+		maps.Copy(avoid, b.evidence.Avoid(time.Now(), pool))
+	}
+	return avoid
+}
+
+func (k *Keeper) publish(b *beliefs) {
+	avoided := k.avoid(b)
+	for id := range avoided {
+		if !b.avoided[id] {
+			logrus.WithFields(logrus.Fields{"upstream": id, "pool": b.listed[id].Pool}).Info("membership: An upstream is avoided for failing here.")
+		}
+	}
+	for id := range b.avoided {
+		if !avoided[id] {
+			logrus.WithField("upstream", id).Info("membership: An upstream is trusted again.")
+		}
+	}
+	b.avoided = avoided
+	k.snapshot.Store(newSnapshot(b.configuration, b.listed, avoided))
+}
+
+// followConfiguration reads the configuration until the context ends.
+func (k *Keeper) followConfiguration(ctx context.Context) {
+	wait := time.Duration(0)
+	away := false
+	for ctx.Err() == nil {
+		sent := k.options.Uptime()
+		c, err := k.options.Configurations.Next(ctx, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if !away {
+				logrus.WithError(err).WithField("age", k.Age().String()).Warn("membership: The configuration cannot be read. The last one stays in force.")
+			}
+			away, wait = true, 0
+			pause.For(ctx, retryAfter+rand.N(retryAfter/2))
+			continue
+		}
+		if away {
+			logrus.Info("membership: The configuration can be read again.")
+		}
+		away, wait = false, k.wait()
+		if c == nil {
+			k.heard.Store(int64(sent))
+			continue
+		}
+		k.tell(ctx, func(b *beliefs) {
+			k.takeConfiguration(b, c)
+			// Only now is what was read in force here.
+			k.heard.Store(int64(sent))
+		})
+	}
+}
+
+func (k *Keeper) takeConfiguration(b *beliefs, c *traffic.Configuration) {
+	if b.configuration != nil && c.Version() <= b.configuration.Version() {
+		// The store may return the newest record again; an older one never comes
+		// into force after a newer one.
+		return
+	}
+	b.configuration = c
+	logrus.WithFields(logrus.Fields{"version": c.Version(), "routes": c.Routes()}).Info("membership: A configuration is in force.")
+	k.publish(b)
+}
+
+// followUpstreams reads the list of upstreams until the context ends.
+func (k *Keeper) followUpstreams(ctx context.Context) {
+	every := k.options.Drain/2 - drainMargin/2
+	var returned time.Time
+	away := false
+	for ctx.Err() == nil {
+		change, err := k.options.Upstreams.Next(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if !away {
+				logrus.WithError(err).Warn("membership: The upstreams cannot be read. The last list stays in use.")
+			}
+			away = true
+			pause.For(ctx, retryAfter+rand.N(retryAfter/2))
+			continue
+		}
+		if away {
+			away, returned = false, time.Now()
+			logrus.Info("membership: The upstreams can be read again.")
+		}
+		giveUpAt := returned.Add(lapseGrace)
+		k.tell(ctx, func(b *beliefs) { k.takeUpstreams(b, change, giveUpAt) })
+		pause.For(ctx, every)
+	}
+}
+
+// takeUpstreams takes in a change; what is gone is believed in until giveUpAt,
+// because entries lapse while the store is away though their upstreams live.
+func (k *Keeper) takeUpstreams(b *beliefs, change traffic.UpstreamChange, giveUpAt time.Time) {
+	for _, err := range change.Skipped {
+		logrus.WithError(err).Warn("membership: An upstream's entry was skipped.")
+	}
+	changed := false
+	gone := change.Gone
+	if change.Whole {
+		gone = append(gone, missing(b.listed, change.Listed)...)
+	}
+	for _, u := range change.Listed {
+		delete(b.lapsing, u.ID)
+		if old, ok := b.listed[u.ID]; !ok || !reflect.DeepEqual(old, u) {
+			b.listed[u.ID] = u
+			changed = true
+			logrus.WithFields(logrus.Fields{"upstream": u.ID, "pool": u.Pool, "state": u.State}).Info("membership: An upstream's entry changed.")
+		}
+	}
+	for _, id := range gone {
+		if _, ok := b.listed[id]; ok && !listedIn(change.Listed, id, change.Whole) {
+			b.lapsing[id] = giveUpAt
+		}
+	}
+	k.expire(b, time.Now())
+	if changed {
+		k.publish(b)
+	}
+}
+
+// listedIn reports whether an upstream that is among those gone was listed again after that.
+func listedIn(listed []traffic.Upstream, id string, whole bool) bool {
+	if whole {
+		return false
+	}
+	for _, u := range listed {
+		if u.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func missing(known map[string]traffic.Upstream, listed []traffic.Upstream) []string {
+	here := map[string]bool{}
+	for _, u := range listed {
+		here[u.ID] = true
+	}
+	var ids []string
+	for id := range known {
+		if !here[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// expire gives up the upstreams whose grace has ended.
+func (k *Keeper) expire(b *beliefs, now time.Time) {
+	changed := false
+	for id, at := range b.lapsing {
+		if now.Before(at) {
+			continue
+		}
+		delete(b.lapsing, id)
+		delete(b.listed, id)
+		changed = true
+		logrus.WithField("upstream", id).Info("membership: An upstream is gone.")
+	}
+	if !changed {
+		return
+	}
+	listed := map[string]bool{}
+	for id := range b.listed {
+		listed[id] = true
+	}
+	b.evidence.Forget(listed)
+	k.publish(b)
+}
--- /dev/null
+++ b/jackdawd/internal/membership/snapshot.go
@@ -0,0 +1,51 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"jackdawhinge/common/traffic"
+)
+
+// A Snapshot is what the host believed at one moment.
+type Snapshot struct {
+	configuration *traffic.Configuration
+	pools         map[string][]*traffic.Upstream
+	upstreams     map[string]*traffic.Upstream
+	avoided       map[string]bool
+}
+
+// Configuration returns the configuration in force, or nil before there is one.
+func (s *Snapshot) Configuration() *traffic.Configuration { return s.configuration }
+
+// Upstreams returns a pool's upstreams that take new work, in order of their
+// identifiers; the slice must not be changed.
+func (s *Snapshot) Upstreams(pool string) []*traffic.Upstream { return s.pools[pool] }
+
+// Takes reports whether an upstream still takes new work.
+func (s *Snapshot) Takes(id string) bool {
+	_, ok := s.upstreams[id]
+	return ok
+}
+
+// Avoided reports whether this host's own experience speaks against an upstream.
+func (s *Snapshot) Avoided(id string) bool { return s.avoided[id] }
+
+// newSnapshot returns a snapshot of the upstreams that take new work.
+func newSnapshot(c *traffic.Configuration, listed map[string]traffic.Upstream, avoided map[string]bool) *Snapshot {
+	s := &Snapshot{
+		configuration: c, pools: map[string][]*traffic.Upstream{},
+		upstreams: map[string]*traffic.Upstream{}, avoided: avoided,
+	}
+	for id, u := range listed {
+		if u.State != traffic.Ready {
+			continue
+		}
+		s.upstreams[id] = &u
+		s.pools[u.Pool] = append(s.pools[u.Pool], &u)
+	}
+	for _, pool := range s.pools {
+		slices.SortFunc(pool, func(a, b *traffic.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return s
+}
--- /dev/null
+++ b/jackdawd/internal/placement/choose.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/routing"
+)
+
+const (
+	// boundShare is the part of the load multiple that this host places up to. The rest
+	// covers what other hosts place at the same moment.
+	boundShare = 0.7
+	// boundSlack is how many requests above that are always allowed: with few
+	// requests on each engine a multiple of the mean is less than one more.
+	boundSlack = 2
+	// farCost is what an upstream in another failure domain costs a request to a
+	// plain service, in requests waiting there.
+	farCost = 1.5
+)
+
+// A Choice is what a request is placed by.
+type Choice struct {
+	// Upstreams are those that may take the request, and Loads what each is thought to have.
+	Upstreams []*traffic.Upstream
+	Loads     []float64
+	// Key is the hash of the prompt that the request shares with others; Cached is set if it has one.
+	Key    uint64
+	Cached bool
+	// FailureDomain is this host's own.
+	FailureDomain string
+	// Multiple is how many times the mean load an upstream may carry.
+	Multiple float64
+	// Tie orders upstreams that are equally good.
+	Tie uint64
+}
+
+// Choose returns the upstream for a request, or nil if there is none.
+func Choose(c Choice) *traffic.Upstream {
+	if len(c.Upstreams) == 0 {
+		return nil
+	}
+	if c.Cached {
+		return c.warmest()
+	}
+	return c.lightest()
+}
+
+// warmest returns the first upstream in the prompt's own order that is not far
+// above the mean. Every host has the same order, so that without overload all
+// requests of a prompt meet at one engine.
+func (c Choice) warmest() *traffic.Upstream {
+	bound := c.bound()
+	order := make([]int, len(c.Upstreams))
+	scores := make([]uint64, len(c.Upstreams))
+	for i, u := range c.Upstreams {
+		order[i], scores[i] = i, routing.Score(c.Key, routing.HashOf(u.ID))
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	for _, i := range order {
+		if c.Loads[i]+1 <= bound {
+			return c.Upstreams[i]
+		}
+	}
+	return c.lightest()
+}
+
+func (c Choice) bound() float64 {
+	sum := 0.0
+	for _, l := range c.Loads {
+		sum += l
+	}
+	return c.Multiple*boundShare*sum/float64(len(c.Loads)) + boundSlack
+}
+
+// lightest returns the upstream with the least load for its slots; one nearby is preferred.
+func (c Choice) lightest() *traffic.Upstream {
+	var best *traffic.Upstream
+	var bestCost float64
+	var bestTie uint64
+	for i, u := range c.Upstreams {
+		cost := c.Loads[i]
+		if u.FailureDomain != c.FailureDomain {
+			cost += farCost
+		}
+		tie := routing.Score(c.Tie, routing.HashOf(u.ID))
+		if best == nil || cost < bestCost || (cost == bestCost && tie > bestTie) {
+			best, bestCost, bestTie = u, cost, tie
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/jackdawd/internal/relay/job.go
@@ -0,0 +1,241 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/events"
+	"jackdawhinge/jackdawd/internal/exchange"
+	"jackdawhinge/jackdawd/internal/membership"
+	"jackdawhinge/jackdawd/internal/placement"
+	"jackdawhinge/jackdawd/internal/work"
+)
+
+// job is one caller's request on its way.
+type job struct {
+	*Handler
+	w         http.ResponseWriter
+	r         *http.Request
+	out       *http.ResponseController
+	arrived   time.Time
+	deadline  time.Time
+	snapshot  *membership.Snapshot
+	request   traffic.Request
+	route     *traffic.Route
+	workspace traffic.Workspace
+	body      []byte
+
+	pool traffic.Pool
+	// tried names the upstreams that were sent the request or could not be reached.
+	tried []string
+	// sent counts the upstreams that were sent the request.
+	sent int
+	// mayHaveRun is set once an upstream may have executed the request.
+	mayHaveRun bool
+	// begun is set once the head of an answer has gone to the caller.
+	begun bool
+	split events.Splitter
+}
+
+// verdict says how a try at one upstream ended.
+type verdict string
+
+const (
+	// answered: the caller has the whole answer.
+	answered verdict = "answered"
+	// callerLeft: nobody waits for an answer any more.
+	callerLeft verdict = "caller-left"
+	// unsent: the upstream has seen nothing of the request.
+	unsent verdict = "unsent"
+	// rejected: the upstream says that it did not run the request.
+	rejected verdict = "rejected"
+	// replaced: another upstream has the address.
+	replaced verdict = "replaced"
+	// failed: the upstream answered that it failed; the answer may still be passed on.
+	failed verdict = "failed"
+	// broken: the answer broke off, was silent for too long or was none; it may have run.
+	broken verdict = "broken"
+)
+
+// result is how a try ended, with the whole answer of a failure, which is passed
+// on if no other upstream does better.
+type result struct {
+	verdict verdict
+	err     error
+	answer  *wholeAnswer
+}
+
+const (
+	// maxTries bounds the tries of one request, those that reached no upstream included.
+	maxTries = 5
+	// expiredStatus is for a request whose time is over.
+	expiredStatus = http.StatusGatewayTimeout
+)
+
+// serve tries upstreams until one has answered or nothing more may be tried.
+func (j *job) serve() {
+	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
+	defer cancel()
+	ctx, span := j.tracer.Start(ctx, "relay")
+	defer span.End()
+	key, cached := j.request.CacheKey()
+	if !cached {
+		key = rand.Uint64()
+	}
+	j.pool, _ = j.snapshot.Configuration().Pool(j.route.Pick(key))
+	j.Budgets.Earn(j.pool.Name)
+	var last result
+	for range maxTries {
+		upstream := j.place(key, cached)
+		if upstream == nil {
+			break
+		}
+		last = j.try(ctx, upstream)
+		if !j.again(ctx, last) {
+			break
+		}
+	}
+	j.finish(ctx, last)
+}
+
+// place chooses an upstream that was not tried yet, or nil.
+func (j *job) place(key uint64, cached bool) *traffic.Upstream {
+	// A request may have waited or been tried for seconds; upstreams have left meanwhile.
+	j.snapshot = j.Members.Snapshot()
+	var fit, avoided []*traffic.Upstream
+	for _, u := range j.snapshot.Upstreams(j.pool.Name) {
+		switch {
+		case contains(j.tried, u.ID) || !u.Serves(j.request.Model):
+		case j.snapshot.Avoided(u.ID):
+			avoided = append(avoided, u)
+		default:
+			fit = append(fit, u)
+		}
+	}
+	if len(fit) == 0 {
+		fit = avoided
+	}
+	return placement.Choose(placement.Choice{
+		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), Key: key, Cached: cached && j.pool.Engine,
+		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple, Tie: rand.Uint64(),
+	})
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// again decides whether the request is tried at another upstream, and takes the retry from the budget.
+func (j *job) again(ctx context.Context, r result) bool {
+	if r.verdict == answered || r.verdict == callerLeft || ctx.Err() != nil {
+		return false
+	}
+	if r.verdict == unsent {
+		// No upstream has seen it, so that trying another costs none of them anything.
+		return true
+	}
+	allowed := r.verdict == replaced || j.sent < j.route.MaxUpstreams
+	harmless := r.verdict == rejected || r.verdict == replaced || j.route.Repeatable()
+	return allowed && harmless && j.Budgets.Spend(j.pool.Name)
+}
+
+// finish ends a request that no upstream has answered.
+func (j *job) finish(ctx context.Context, last result) {
+	switch {
+	case last.verdict == answered:
+		j.Journal.Answered(j.entry(last))
+	case last.verdict == callerLeft || j.r.Context().Err() != nil:
+		j.Journal.Left(j.entry(last))
+		// Nobody reads an answer; what has gone out must not look complete.
+		panic(http.ErrAbortHandler)
+	case j.begun:
+		j.Journal.Broken(j.entry(last))
+		panic(http.ErrAbortHandler)
+	case last.answer != nil && !last.answer.notRun:
+		j.Journal.Answered(j.entry(last))
+		j.pass(last.answer)
+	default:
+		j.refuse(j.refusal(ctx, last))
+	}
+}
+
+// refusal returns what is true of a request that has no answer.
+func (j *job) refusal(ctx context.Context, last result) *work.Refusal {
+	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case j.mayHaveRun && expired:
+		r := work.Uncertain(work.UpstreamFailed, "no answer came in time")
+		r.Status = expiredStatus
+		return r
+	case j.mayHaveRun:
+		return work.Uncertain(work.UpstreamFailed, "no whole answer came: %v", last.err)
+	case len(j.tried) == 0:
+		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "no upstream takes requests").Retry(retryLater)
+	case last.verdict == rejected:
+		return work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "the upstream is full").Retry(retrySoon)
+	default:
+		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "no upstream could be reached").Retry(retrySoon)
+	}
+}
+
+// refuse answers with a refusal.
+func (j *job) refuse(r *work.Refusal) {
+	j.Journal.Refused(j.entry(result{}), r)
+	h := j.w.Header()
+	h.Set("Content-Type", "application/json")
+	j.Protocol.Refusal(h, j.request.ID, r.RetryAfter)
+	j.w.WriteHeader(r.Status)
+	// A caller that has gone away needs no refusal.
+	_, _ = j.w.Write(r.Body())
+}
+
+// hop returns what is added to the request on its way to an upstream.
+func (j *job) hop(u *traffic.Upstream) traffic.Hop {
+	return traffic.Hop{
+		Upstream: u.ID, Workspace: j.workspace.Name, TimeLeft: time.Until(j.deadline),
+		Urgency: urgency(j.workspace, j.route), ResumeAfter: j.split.LastID(),
+	}
+}
+
+const (
+	// urgenciesPerWorkspace keeps routes of one workspace's rank apart: the
+	// workspace's rank goes before the route's.
+	urgenciesPerWorkspace = 3
+	lowestUrgency         = 9
+)
+
+func urgency(w traffic.Workspace, r *traffic.Route) int {
+	return min(w.Urgency*urgenciesPerWorkspace+min(r.Urgency, urgenciesPerWorkspace-1), lowestUrgency)
+}
+
+// call returns the request as it goes to an upstream.
+func (j *job) call(u *traffic.Upstream) exchange.Call {
+	call := exchange.Call{
+		Address: u.Address, ID: j.request.ID, Method: j.r.Method, Target: target(j.r), Host: j.r.Host,
+		Header: j.Protocol.Forwarded(j.r.Header, j.hop(u)), Body: j.body,
+		MaxConnections: j.pool.MaxConnections / connectionShare,
+		HeadWithin:     j.firstWithin(j.sent + 1),
+	}
+	if !j.route.Repeatable() {
+		call.MaxIdle = freshWithin
+	}
+	return call
+}
+
+const (
+	// connectionShare is the part of an upstream's connections that one host may
+	// open: a crowd that reaches few hosts gets an eighth each.
+	connectionShare = 8
+	// freshWithin is how recently a connection must have been used for a request
+	// that must not run twice. Upstreams keep idle connections for seconds at least.
+	freshWithin = 1500 * time.Millisecond
+)
--- /dev/null
+++ b/jackdawd/internal/relay/try.go
@@ -0,0 +1,183 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/exchange"
+)
+
+const (
+	// silentTargets is how many times its target a repeatable request waits for a
+	// silent upstream before it goes to another one.
+	silentTargets = 2
+	// leastSilence is the least time that such a request waits.
+	leastSilence = 600 * time.Millisecond
+	// wholeBytes is the size up to which an answer is gathered before it goes to the
+	// caller, so that one that breaks off can be had from another upstream.
+	wholeBytes = 256 << 10
+	// chunkBytes is how much of an answer is read at once.
+	chunkBytes = 16 << 10
+)
+
+// firstWithin returns how long an upstream may be silent before another is tried,
+// or 0 where no other may be; sent counts the upstreams, that one included.
+func (j *job) firstWithin(sent int) time.Duration {
+	if !j.mayMove(sent) {
+		return 0
+	}
+	return max(silentTargets*j.route.Target, leastSilence)
+}
+
+// mayMove reports whether the request may go on elsewhere after a number of upstreams.
+func (j *job) mayMove(sent int) bool {
+	return j.route.Repeatable() && sent < j.route.MaxUpstreams
+}
+
+// try sends the request to an upstream and its answer to the caller.
+func (j *job) try(ctx context.Context, u *traffic.Upstream) result {
+	j.tried = append(j.tried, u.ID)
+	j.Loads.Begin(time.Now(), u.ID)
+	defer func() { j.Loads.End(time.Now(), u.ID) }()
+	call := j.call(u)
+	answer, err := j.Client.Do(ctx, call)
+	if err != nil {
+		return j.noAnswer(ctx, u, err)
+	}
+	defer answer.Close()
+	j.sent++
+	head := answer.Head()
+	if head.Load != nil {
+		j.Loads.Told(time.Now(), u.ID, *head.Load)
+	}
+	switch {
+	case head.OtherUpstream:
+		j.sent--
+		j.Members.Lost(u.ID)
+		return result{verdict: replaced}
+	case head.NotRun:
+		j.observe(ctx, u, false)
+		return result{verdict: rejected}
+	}
+	j.mayHaveRun = true
+	streams := head.Events && answer.Status() == http.StatusOK
+	switch {
+	case answer.Status() < http.StatusMultipleChoices && !head.Sealed:
+		return j.observed(ctx, u, result{verdict: broken, err: errUnsealed})
+	case streams:
+		return j.observed(ctx, u, j.stream(ctx, answer))
+	case j.begun:
+		return j.observed(ctx, u, result{verdict: broken, err: errNoStream})
+	}
+	return j.observed(ctx, u, j.whole(ctx, answer))
+}
+
+// noAnswer judges a call that brought no head.
+func (j *job) noAnswer(ctx context.Context, u *traffic.Upstream, err error) result {
+	var notSent *exchange.NotSentError
+	if errors.As(err, &notSent) {
+		if !errors.Is(err, exchange.ErrBusy) {
+			j.observe(ctx, u, false)
+		}
+		return result{verdict: unsent, err: err}
+	}
+	j.sent++
+	j.mayHaveRun = true
+	return j.observed(ctx, u, result{verdict: broken, err: err})
+}
+
+// observed tells what the try says of the upstream, and returns its result.
+func (j *job) observed(ctx context.Context, u *traffic.Upstream, r result) result {
+	if r.verdict != callerLeft {
+		j.observe(ctx, u, r.verdict != broken)
+	}
+	return r
+}
+
+// observe tells whether the upstream did what it should. A caller that left or a
+// deadline that passed ends the call like a failure would, and speaks against nobody.
+func (j *job) observe(ctx context.Context, u *traffic.Upstream, ok bool) {
+	if ok || ctx.Err() == nil {
+		j.Members.Observe(u.ID, ok)
+	}
+}
+
+// wholeAnswer is an answer that has been gathered.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+	notRun bool
+}
+
+// whole brings an answer that is no stream to the caller.
+func (j *job) whole(ctx context.Context, a *exchange.Answer) result {
+	body, err := io.ReadAll(io.LimitReader(a, wholeBytes))
+	if err != nil {
+		return result{verdict: broken, err: err}
+	}
+	answer := &wholeAnswer{status: a.Status(), header: a.Header(), body: body}
+	if len(body) == wholeBytes {
+		return j.long(ctx, a, answer)
+	}
+	if a.Status() >= http.StatusInternalServerError {
+		return result{verdict: failed, answer: answer}
+	}
+	j.pass(answer)
+	return result{verdict: answered}
+}
+
+var (
+	errUnsealed = errors.New("a success without the upstream's signature")
+	errNoStream = errors.New("no stream where one should go on")
+)
+
+// pass sends a gathered answer to the caller.
+func (j *job) pass(a *wholeAnswer) {
+	if len(a.body) > 0 {
+		j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	j.begin(a.status, a.header)
+	// A caller that has gone away needs no answer.
+	_, _ = j.w.Write(a.body)
+}
+
+// begin sends the head of an answer.
+func (j *job) begin(status int, header http.Header) {
+	j.Protocol.Returned(j.w.Header(), header)
+	if header.Get("Content-Type") == "" {
+		// The server would else guess a type that the upstream did not send.
+		j.w.Header()["Content-Type"] = nil
+	}
+	j.begun = true
+	j.w.WriteHeader(status)
+}
+
+// long passes on an answer that is too large to gather.
+func (j *job) long(ctx context.Context, a *exchange.Answer, first *wholeAnswer) result {
+	if a.Length() >= 0 {
+		// With its length known the caller sees an answer that is cut.
+		j.w.Header().Set("Content-Length", strconv.FormatInt(a.Length(), 10))
+	}
+	j.begin(first.status, first.header)
+	if _, err := j.w.Write(first.body); err != nil {
+		return result{verdict: callerLeft, err: err}
+	}
+	if _, err := io.CopyBuffer(onlyWriter{j.w}, onlyReader{a}, make([]byte, chunkBytes)); err != nil {
+		if ctx.Err() != nil {
+			return result{verdict: callerLeft, err: err}
+		}
+		return result{verdict: broken, err: err}
+	}
+	return result{verdict: answered}
+}
+
+// onlyWriter and onlyReader keep io.Copy to the buffer that it is given.
+type onlyWriter struct{ io.Writer }
+
+type onlyReader struct{ io.Reader }
--- a/jackdawd/internal/routing/view.go
+++ b/jackdawd/internal/routing/view.go
@@ -94,7 +94,7 @@
 	var scores [rankDepth]uint64
 	n := 0
 	for _, u := range p.upstreams {
-		s := score(chat, u.hash)
+		s := Score(chat, u.hash)
 		i := n
 		for i > 0 && s > scores[i-1] {
 			i--
@@ -110,7 +110,8 @@
 	return append([]*Upstream(nil), best[:n]...)
 }
 
-func score(a, b uint64) uint64 {
+// Score returns the rendezvous hash of two hashes: the higher it is, the better they fit.
+func Score(a, b uint64) uint64 {
 	var buf [16]byte
 	binary.LittleEndian.PutUint64(buf[:8], a)
 	binary.LittleEndian.PutUint64(buf[8:], b)
@@ -264,7 +265,7 @@
 		if slices.Contains(exclude, h.name) {
 			continue
 		}
-		if s := score(key, h.hash); !found || s > bestScore {
+		if s := Score(key, h.hash); !found || s > bestScore {
 			best, bestScore, found = h, s, true
 		}
 	}
