--- a/common/traffic/request.go
+++ b/common/traffic/request.go
@@ -55,6 +55,9 @@
 	Urgency int
 	// ResumeAfter is the last event that was delivered; empty for none.
 	ResumeAfter string
+	// FetchFrom is the address of another engine that may have more of the prompt
+	// cached; empty for none.
+	FetchFrom string
 }
 
 // A Load is what an upstream says of its work.
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -82,7 +82,7 @@
 	})
 	h.client = exchange.NewClient(o.Protocol, nil)
 	h.handler = relay.NewHandler(relay.Options{
-		Protocol: o.Protocol, Members: h.keeper, Client: h.client, Loads: h.loads,
+		Protocol: o.Protocol, Members: h.keeper, Client: h.client, Loads: h.loads, Warmth: placement.NewWarmth(),
 		Budgets: relay.NewBudgets(o.RetryRatio), Journal: relay.LogJournal{},
 		FailureDomain: o.FailureDomain, LoadMultiple: o.LoadMultiple,
 	})
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -18,17 +18,17 @@
 
 const (
 	// longestWait bounds how long one read of the configuration waits for a change.
-	longestWait = time.Second
-	// waitShare is the part of the revocation bound that such a read may wait: with a
-	// fifth, a read that is lost and found out by its timeout leaves time for another
-	// before keys can no longer be honored.
-	waitShare = 5
+	longestWait = 10 * time.Second
+	// waitShare is the part of the revocation bound that such a read may wait: with
+	// three tenths, a read that is lost and found out by its timeout leaves time for
+	// another before keys can no longer be honored.
+	waitShare = 0.3
 	// revokeMargin is how much before the revocation bound keys are no longer honored;
 	// it covers the time from a request's arrival to its being sent on.
 	revokeMargin = 200 * time.Millisecond
-	// drainMargin is taken off the drain bound for the time that a read of the
-	// upstreams takes, to leave a request that is being sent on time to arrive.
-	drainMargin = 200 * time.Millisecond
+	// listShare is the part of the drain bound after which the upstreams are read
+	// again; the rest is for the read itself and for a request on its way.
+	listShare = 0.75
 	// retryAfter is the pause after a failed read; with jitter of its half, so that
 	// the hosts do not all come back to a recovering store at once.
 	retryAfter = 200 * time.Millisecond
@@ -159,7 +159,7 @@
 }
 
 func (k *Keeper) wait() time.Duration {
-	return min(longestWait, k.options.Revoke/waitShare)
+	return min(longestWait, time.Duration(waitShare*float64(k.options.Revoke)))
 }
 
 func (k *Keeper) run(ctx context.Context, b *beliefs) {
@@ -268,7 +268,7 @@
 
 // followUpstreams reads the list of upstreams until the context ends.
 func (k *Keeper) followUpstreams(ctx context.Context) {
-	every := k.options.Drain/2 - drainMargin/2
+	every := time.Duration(listShare * float64(k.options.Drain))
 	var returned time.Time
 	away := false
 	for ctx.Err() == nil {
--- a/jackdawd/internal/membership/snapshot.go
+++ b/jackdawd/internal/membership/snapshot.go
@@ -11,7 +11,7 @@
 type Snapshot struct {
 	configuration *traffic.Configuration
 	pools         map[string][]*traffic.Upstream
-	upstreams     map[string]*traffic.Upstream
+	listed        map[string]*traffic.Upstream
 	avoided       map[string]bool
 }
 
@@ -24,8 +24,14 @@
 
 // Takes reports whether an upstream still takes new work.
 func (s *Snapshot) Takes(id string) bool {
-	_, ok := s.upstreams[id]
-	return ok
+	u, ok := s.listed[id]
+	return ok && u.State == traffic.Ready
+}
+
+// Listed returns an upstream that is still listed, leaving or not.
+func (s *Snapshot) Listed(id string) (*traffic.Upstream, bool) {
+	u, ok := s.listed[id]
+	return u, ok
 }
 
 // Avoided reports whether this host's own experience speaks against an upstream.
@@ -35,13 +41,13 @@
 func newSnapshot(c *traffic.Configuration, listed map[string]traffic.Upstream, avoided map[string]bool) *Snapshot {
 	s := &Snapshot{
 		configuration: c, pools: map[string][]*traffic.Upstream{},
-		upstreams: map[string]*traffic.Upstream{}, avoided: avoided,
+		listed: map[string]*traffic.Upstream{}, avoided: avoided,
 	}
 	for id, u := range listed {
+		s.listed[id] = &u
 		if u.State != traffic.Ready {
 			continue
 		}
-		s.upstreams[id] = &u
 		s.pools[u.Pool] = append(s.pools[u.Pool], &u)
 	}
 	for _, pool := range s.pools {
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -11,10 +11,10 @@
 const (
 	// boundShare is the part of the load multiple that this host places up to. The rest
 	// covers what other hosts place at the same moment.
-	boundShare = 0.7
+	boundShare = 0.85
 	// boundSlack is how many requests above that are always allowed: with few
 	// requests on each engine a multiple of the mean is less than one more.
-	boundSlack = 2
+	boundSlack = 2.5
 	// farCost is what an upstream in another failure domain costs a request to a
 	// plain service, in requests waiting there.
 	farCost = 1.5
@@ -52,13 +52,7 @@
 // requests of a prompt meet at one engine.
 func (c Choice) warmest() *traffic.Upstream {
 	bound := c.bound()
-	order := make([]int, len(c.Upstreams))
-	scores := make([]uint64, len(c.Upstreams))
-	for i, u := range c.Upstreams {
-		order[i], scores[i] = i, routing.Score(c.Key, routing.HashOf(u.ID))
-	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
-	for _, i := range order {
+	for _, i := range rank(c.Key, c.Upstreams) {
 		if c.Loads[i]+1 <= bound {
 			return c.Upstreams[i]
 		}
@@ -66,6 +60,17 @@
 	return c.lightest()
 }
 
+// rank returns the indexes of upstreams in a prompt's own order, by rendezvous hashing.
+func rank(key uint64, upstreams []*traffic.Upstream) []int {
+	order := make([]int, len(upstreams))
+	scores := make([]uint64, len(upstreams))
+	for i, u := range upstreams {
+		order[i], scores[i] = i, routing.Score(key, routing.HashOf(u.ID))
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	return order
+}
+
 func (c Choice) bound() float64 {
 	sum := 0.0
 	for _, l := range c.Loads {
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -59,6 +59,7 @@
 	Members       Members
 	Client        *exchange.Client
 	Loads         *placement.Loads
+	Warmth        *placement.Warmth
 	Budgets       *Budgets
 	Journal       Journal
 	FailureDomain string
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -30,6 +30,9 @@
 	body      []byte
 
 	pool traffic.Pool
+	// key is the hash of the prompt that the request shares with others, if cached is set.
+	key    uint64
+	cached bool
 	// tried names the upstreams that were sent the request or could not be reached.
 	tried []string
 	// sent counts the upstreams that were sent the request.
@@ -82,15 +85,16 @@
 	defer cancel()
 	ctx, span := j.tracer.Start(ctx, "relay")
 	defer span.End()
-	key, cached := j.request.CacheKey()
-	if !cached {
-		key = rand.Uint64()
+	j.key, j.cached = j.request.CacheKey()
+	if !j.cached {
+		j.key = rand.Uint64()
 	}
-	j.pool, _ = j.snapshot.Configuration().Pool(j.route.Pick(key))
+	j.pool, _ = j.snapshot.Configuration().Pool(j.route.Pick(j.key))
+	j.cached = j.cached && j.pool.Engine
 	j.Budgets.Earn(j.pool.Name)
 	var last result
 	for range maxTries {
-		upstream := j.place(key, cached)
+		upstream := j.place()
 		if upstream == nil {
 			break
 		}
@@ -103,7 +107,7 @@
 }
 
 // place chooses an upstream that was not tried yet, or nil.
-func (j *job) place(key uint64, cached bool) *traffic.Upstream {
+func (j *job) place() *traffic.Upstream {
 	// A request may have waited or been tried for seconds; upstreams have left meanwhile.
 	j.snapshot = j.Members.Snapshot()
 	var fit, avoided []*traffic.Upstream
@@ -120,7 +124,7 @@
 		fit = avoided
 	}
 	return placement.Choose(placement.Choice{
-		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), Key: key, Cached: cached && j.pool.Engine,
+		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), Key: j.key, Cached: j.cached,
 		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple, Tie: rand.Uint64(),
 	})
 }
@@ -200,10 +204,17 @@
 
 // hop returns what is added to the request on its way to an upstream.
 func (j *job) hop(u *traffic.Upstream) traffic.Hop {
-	return traffic.Hop{
+	hop := traffic.Hop{
 		Upstream: u.ID, Workspace: j.workspace.Name, TimeLeft: time.Until(j.deadline),
 		Urgency: urgency(j.workspace, j.route), ResumeAfter: j.split.LastID(),
 	}
+	if !j.cached {
+		return hop
+	}
+	if from := j.Warmth.Source(time.Now(), j.key, u, j.snapshot.Upstreams(j.pool.Name), j.snapshot.Listed); from != nil {
+		hop.FetchFrom = from.Address
+	}
+	return hop
 }
 
 const (
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -93,6 +93,9 @@
 
 // observed tells what the try says of the upstream, and returns its result.
 func (j *job) observed(ctx context.Context, u *traffic.Upstream, r result) result {
+	if r.verdict == answered && j.cached {
+		j.Warmth.Used(time.Now(), j.key, u.ID)
+	}
 	if r.verdict != callerLeft {
 		j.observe(ctx, u, r.verdict != broken)
 	}
