--- a/common/traffic/upstream.go
+++ b/common/traffic/upstream.go
@@ -19,6 +19,8 @@
 	// Slots is how many requests it works on at once.
 	Slots int
 	State State
+	// Sequence orders what one incarnation says of itself; what has a lower one is older.
+	Sequence int64
 	// Models names the models that it has loaded; empty means that it says nothing of models.
 	Models []string
 }
@@ -36,14 +38,25 @@
 	return false
 }
 
-// An UpstreamChange is what has changed of the upstreams between two looks at
-// the platform's list. Entries stand in order: of two on one upstream the later holds.
+// An UpstreamEntry is what the platform's list says of one upstream.
+type UpstreamEntry struct {
+	ID string
+	// Upstream is nil if the upstream is no longer listed.
+	Upstream *Upstream
+}
+
+// An UpstreamChange is what has changed of the upstreams between two looks at the platform's list.
 type UpstreamChange struct {
-	// Whole is set if Listed is the complete list, so that whatever it lacks is gone.
-	Whole  bool
-	Listed []Upstream
-	// Gone names upstreams that are no longer listed.
-	Gone []string
+	// Whole is set if Entries is the complete list, so that whatever it lacks is gone.
+	Whole bool
+	// Entries stand in the order in which they were written: of two on one upstream the later holds.
+	Entries []UpstreamEntry
 	// Skipped are the errors of entries that could not be read.
 	Skipped []error
 }
+
+// Listed returns the entry of an upstream that is listed.
+func Listed(u Upstream) UpstreamEntry { return UpstreamEntry{ID: u.ID, Upstream: &u} }
+
+// Gone returns the entry of an upstream that is no longer listed.
+func Gone(id string) UpstreamEntry { return UpstreamEntry{ID: id} }
--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -4,17 +4,23 @@
 	"context"
 	"errors"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"jackdawhinge/jackdawd/internal/entry"
+	"jackdawhinge/jackdawd/internal/membership"
 	"jackdawhinge/platform"
 )
 
 const (
+	// reloadEvery is how often the settings file is read again, which may change without a signal.
+	reloadEvery = 2 * time.Second
 	// memoryShare is the part of the host's memory that the garbage collector keeps
 	// the heap below; the rest is for buffers of the kernel and the program's text.
 	memoryShare = 0.6
@@ -32,6 +38,10 @@
 }
 
 func runPlatform(ctx context.Context) error {
+	// A signal that came before anybody listens for it would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	s, err := platform.ReadSettings()
 	if err != nil {
 		return err
@@ -46,9 +56,47 @@
 		Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain,
 		Protocol:       platform.Protocol{},
 		Configurations: platform.NewConfigurationFeed(store), Upstreams: platform.NewUpstreamFeed(store),
-		Revoke: s.Bounds.Revoke, Drain: s.Bounds.Drain, Grace: s.Bounds.Grace,
-		RetryRatio: s.Bounds.RetryRatio, LoadMultiple: s.Bounds.LoadMultiple,
+		Bounds: bounds(s.Bounds),
 	})
+	go func() { follow(ctx, hangups, s, store, host) }()
 	served := host.Start(ctx)
 	return errors.Join(served, host.Stop())
 }
+
+func bounds(b platform.Bounds) entry.Bounds {
+	return entry.Bounds{
+		Bounds:     membership.Bounds{Revoke: b.Revoke, Drain: b.Drain},
+		Grace:      b.Grace,
+		RetryRatio: b.RetryRatio, LoadMultiple: b.LoadMultiple,
+	}
+}
+
+// follow puts changes of the settings file into force until the context ends.
+func follow(ctx context.Context, hangups <-chan os.Signal, inForce platform.Settings, store *platform.Store, host *entry.Host) {
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			logrus.Info("settings: Reading the file again after SIGHUP.")
+		case <-ticker.C:
+		}
+		s, err := platform.ReadSettings()
+		if err != nil {
+			logrus.WithError(err).Warn("settings: The file cannot be used. The last settings stay in force.")
+			continue
+		}
+		if s == inForce {
+			continue
+		}
+		if s.Callers != inForce.Callers || s.Readiness != inForce.Readiness || s.Inner != inForce.Inner {
+			logrus.Warn("settings: Addresses to listen on change only with a restart.")
+		}
+		store.SetAddress(s.Store)
+		host.SetBounds(bounds(s.Bounds))
+		inForce = s
+		logrus.WithFields(logrus.Fields{"store": s.Store, "revoke": s.Bounds.Revoke.String(), "drain": s.Bounds.Drain.String()}).Info("settings: The changed file is in force.")
+	}
+}
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -50,17 +50,25 @@
 	Protocol       Protocol
 	Configurations membership.Configurations
 	Upstreams      membership.Upstreams
-	Revoke         time.Duration
-	Drain          time.Duration
+	Bounds         Bounds
+}
+
+// Bounds are what operators want kept; they may change while the host runs.
+type Bounds struct {
+	membership.Bounds
 	// Grace is how long a stop may take.
-	Grace        time.Duration
-	RetryRatio   float64
+	Grace time.Duration
+	// RetryRatio is the share of requests that all hosts together may send again.
+	RetryRatio float64
+	// LoadMultiple is how many times the mean load an upstream may carry.
 	LoadMultiple float64
 }
 
 // A Host is one entry host.
 type Host struct {
 	options  Options
+	bounds   atomic.Pointer[Bounds]
+	budgets  *relay.Budgets
 	keeper   *membership.Keeper
 	client   *exchange.Client
 	loads    *placement.Loads
@@ -77,14 +85,16 @@
 // NewHost returns a host that has begun to read the configuration.
 func NewHost(o Options) *Host {
 	h := &Host{options: o, loads: placement.NewLoads(), idle: newIdleConns(), failed: make(chan error, 1)}
+	h.bounds.Store(&o.Bounds)
 	h.keeper = membership.NewKeeper(membership.Options{
-		Configurations: o.Configurations, Upstreams: o.Upstreams, Uptime: uptime, Revoke: o.Revoke, Drain: o.Drain,
+		Configurations: o.Configurations, Upstreams: o.Upstreams, Uptime: uptime, Bounds: o.Bounds.Bounds,
 	})
 	h.client = exchange.NewClient(o.Protocol, nil)
+	h.budgets = relay.NewBudgets(o.Bounds.RetryRatio)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Members: h.keeper, Client: h.client, Loads: h.loads, Warmth: placement.NewWarmth(),
-		Budgets: relay.NewBudgets(o.RetryRatio), Journal: relay.LogJournal{},
-		FailureDomain: o.FailureDomain, LoadMultiple: o.LoadMultiple,
+		Budgets: h.budgets, Journal: relay.LogJournal{},
+		FailureDomain: o.FailureDomain, LoadMultiple: func() float64 { return h.bounds.Load().LoadMultiple },
 	})
 	h.serve(telemetry.NewMeter())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -105,6 +115,13 @@
 	return h
 }
 
+// SetBounds puts other bounds into force.
+func (h *Host) SetBounds(b Bounds) {
+	h.bounds.Store(&b)
+	h.keeper.SetBounds(b.Bounds)
+	h.budgets.SetRatio(b.RetryRatio)
+}
+
 // serve sets up the HTTP servers. Every path belongs to callers, so that the
 // library's router, which would redirect some, is passed by.
 func (h *Host) serve(meter *telemetry.Meter) {
@@ -173,7 +190,7 @@
 	h.stopping.Store(true)
 	h.handler.Stopping(begun.Add(leaveWithin))
 	logrus.WithField("in-progress", h.handler.InProgress()).Info("entry: Stopping. Requests in progress finish.")
-	deadline := begun.Add(h.options.Grace - abortMargin)
+	deadline := begun.Add(h.bounds.Load().Grace - abortMargin)
 	for time.Now().Before(deadline) {
 		if time.Since(begun) > leaveWithin && h.handler.InProgress() == 0 {
 			break
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -37,6 +37,8 @@
 	lapseGrace = 2 * time.Second
 	// tick is how often beliefs that end with time are looked at.
 	tick = 250 * time.Millisecond
+	// rememberedGone is how many upstreams that are gone are remembered at least.
+	rememberedGone = 1000
 	// inputBuffer bounds what waits for the control goroutine.
 	inputBuffer = 256
 )
@@ -57,14 +59,21 @@
 	Upstreams      Upstreams
 	// Uptime is a steady clock that also counts the time for which the host was suspended.
 	Uptime func() time.Duration
-	// Revoke is how long a revoked key may be honored, Drain how long a leaving upstream may be sent work.
+	Bounds Bounds
+}
+
+// Bounds are the times within which operators want changes to take effect.
+type Bounds struct {
+	// Revoke is how long a revoked key may be honored.
 	Revoke time.Duration
-	Drain  time.Duration
+	// Drain is how long a leaving upstream may be sent work.
+	Drain time.Duration
 }
 
 // A Keeper is the one goroutine that holds what a host believes.
 type Keeper struct {
 	options  Options
+	bounds   atomic.Pointer[Bounds]
 	snapshot atomic.Pointer[Snapshot]
 	// heard is when the last read of the configuration that was answered had been sent.
 	heard  atomic.Int64
@@ -77,6 +86,8 @@
 type beliefs struct {
 	configuration *traffic.Configuration
 	listed        map[string]traffic.Upstream
+	// sequences holds the newest entry's number of each upstream, also of those that are gone.
+	sequences map[string]int64
 	// lapsing holds when an upstream that is no longer listed is given up.
 	lapsing  map[string]time.Time
 	evidence *control.Evidence
@@ -91,7 +102,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{options: o, inputs: make(chan func(*beliefs), inputBuffer), cancel: cancel}
 	k.heard.Store(never)
-	b := &beliefs{listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, evidence: control.NewEvidence()}
+	k.SetBounds(o.Bounds)
+	b := &beliefs{listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, sequences: map[string]int64{}, evidence: control.NewEvidence()}
 	k.publish(b)
 	k.done.Go(func() { k.run(ctx, b) })
 	k.done.Go(func() { k.followConfiguration(ctx) })
@@ -105,6 +117,9 @@
 	k.done.Wait()
 }
 
+// SetBounds puts other bounds into force.
+func (k *Keeper) SetBounds(b Bounds) { k.bounds.Store(&b) }
+
 // Snapshot returns what the host believes.
 func (k *Keeper) Snapshot() *Snapshot { return k.snapshot.Load() }
 
@@ -120,7 +135,7 @@
 
 // HonorsKeys reports whether a key that the configuration holds cannot have been
 // revoked for longer than is allowed.
-func (k *Keeper) HonorsKeys() bool { return k.Age() < k.options.Revoke-revokeMargin }
+func (k *Keeper) HonorsKeys() bool { return k.Age() < k.bounds.Load().Revoke-revokeMargin }
 
 // Current reports whether the configuration is as new as reads can make it.
 func (k *Keeper) Current() bool { return k.Age() < 2*k.wait()+retryAfter }
@@ -159,7 +174,7 @@
 }
 
 func (k *Keeper) wait() time.Duration {
-	return min(longestWait, time.Duration(waitShare*float64(k.options.Revoke)))
+	return min(longestWait, time.Duration(waitShare*float64(k.bounds.Load().Revoke)))
 }
 
 func (k *Keeper) run(ctx context.Context, b *beliefs) {
@@ -268,7 +283,6 @@
 
 // followUpstreams reads the list of upstreams until the context ends.
 func (k *Keeper) followUpstreams(ctx context.Context) {
-	every := time.Duration(listShare * float64(k.options.Drain))
 	var returned time.Time
 	away := false
 	for ctx.Err() == nil {
@@ -290,7 +304,7 @@
 		}
 		giveUpAt := returned.Add(lapseGrace)
 		k.tell(ctx, func(b *beliefs) { k.takeUpstreams(b, change, giveUpAt) })
-		pause.For(ctx, every)
+		pause.For(ctx, time.Duration(listShare*float64(k.bounds.Load().Drain)))
 	}
 }
 
@@ -301,58 +315,50 @@
 		logrus.WithError(err).Warn("membership: An upstream's entry was skipped.")
 	}
 	changed := false
-	gone := change.Gone
-	if change.Whole {
-		gone = append(gone, missing(b.listed, change.Listed)...)
-	}
-	for _, u := range change.Listed {
-		delete(b.lapsing, u.ID)
-		if old, ok := b.listed[u.ID]; !ok || !reflect.DeepEqual(old, u) {
-			b.listed[u.ID] = u
-			changed = true
-			logrus.WithFields(logrus.Fields{"upstream": u.ID, "pool": u.Pool, "state": u.State}).Info("membership: An upstream's entry changed.")
+	listed := map[string]bool{}
+	for _, e := range change.Entries {
+		listed[e.ID] = e.Upstream != nil
+		if e.Upstream != nil {
+			changed = b.list(*e.Upstream) || changed
+		} else if _, ok := b.listed[e.ID]; ok {
+			b.lapsing[e.ID] = giveUpAt
 		}
 	}
-	for _, id := range gone {
-		if _, ok := b.listed[id]; ok && !listedIn(change.Listed, id, change.Whole) {
+	for id := range b.listed {
+		if _, lapsing := b.lapsing[id]; change.Whole && !listed[id] && !lapsing {
 			b.lapsing[id] = giveUpAt
 		}
 	}
-	k.expire(b, time.Now())
-	if changed {
+	if !k.expire(b, time.Now()) && changed {
 		k.publish(b)
 	}
 }
 
-// listedIn reports whether an upstream that is among those gone was listed again after that.
-func listedIn(listed []traffic.Upstream, id string, whole bool) bool {
-	if whole {
+// list takes in an upstream's entry and reports whether it says anything new.
+func (b *beliefs) list(u traffic.Upstream) bool {
+	if u.Sequence < b.sequences[u.ID] {
+		// An entry that was held up on its way says "ready" after the one that says
+		// "leaving", or after its upstream is gone; believing it would send work to
+		// an upstream that leaves. Upstreams number their entries.
 		return false
 	}
-	for _, u := range listed {
-		if u.ID == id {
-			return true
-		}
-	}
-	return false
-}
-
-func missing(known map[string]traffic.Upstream, listed []traffic.Upstream) []string {
-	here := map[string]bool{}
-	for _, u := range listed {
-		here[u.ID] = true
+	old, known := b.listed[u.ID]
+	if _, lapsing := b.lapsing[u.ID]; lapsing && u.Sequence == b.sequences[u.ID] {
+		return false
 	}
-	var ids []string
-	for id := range known {
-		if !here[id] {
-			ids = append(ids, id)
-		}
+	delete(b.lapsing, u.ID)
+	b.sequences[u.ID] = u.Sequence
+	b.listed[u.ID] = u
+	old.Sequence = u.Sequence
+	if known && reflect.DeepEqual(old, u) {
+		return false
 	}
-	return ids
+	logrus.WithFields(logrus.Fields{"upstream": u.ID, "pool": u.Pool, "state": u.State}).Info("membership: An upstream's entry changed.")
+	return true
 }
 
-// expire gives up the upstreams whose grace has ended.
-func (k *Keeper) expire(b *beliefs, now time.Time) {
+// expire gives up the upstreams whose grace has ended, and reports whether there were any.
+func (k *Keeper) expire(b *beliefs, now time.Time) bool {
 	changed := false
 	for id, at := range b.lapsing {
 		if now.Before(at) {
@@ -364,12 +370,27 @@
 		logrus.WithField("upstream", id).Info("membership: An upstream is gone.")
 	}
 	if !changed {
-		return
+		return false
 	}
 	listed := map[string]bool{}
 	for id := range b.listed {
 		listed[id] = true
 	}
 	b.evidence.Forget(listed)
+	b.forgetSequences()
 	k.publish(b)
+	return true
+}
+
+// forgetSequences drops what is remembered of upstreams that are gone once it is
+// much, and any entry of them that was held up has long come.
+func (b *beliefs) forgetSequences() {
+	if len(b.sequences) <= 2*len(b.listed)+rememberedGone {
+		return
+	}
+	for id := range b.sequences {
+		if _, ok := b.listed[id]; !ok {
+			delete(b.sequences, id)
+		}
+	}
 }
--- /dev/null
+++ b/jackdawd/internal/membership/keeper_test.go
@@ -0,0 +1,332 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/common/pause"
+	"jackdawhinge/common/traffic"
+)
+
+// source is a store that a test writes to.
+type source struct {
+	mu       sync.Mutex
+	versions []*traffic.Configuration
+	changes  []traffic.UpstreamChange
+	away     bool
+	silent   bool
+	delay    time.Duration
+	reads    int
+}
+
+func (s *source) set(change func(s *source)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *source) begin(ctx context.Context) error {
+	s.mu.Lock()
+	s.reads++
+	away, silent, delay := s.away, s.silent, s.delay
+	s.mu.Unlock()
+	pause.For(ctx, delay)
+	if silent {
+		pause.For(ctx, time.Second)
+		return errors.New("no answer")
+	}
+	if away {
+		return errors.New("store is away")
+	}
+	return nil
+}
+
+type configurationSource struct{ *source }
+
+func (c configurationSource) Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, error) {
+	if err := c.begin(ctx); err != nil {
+		return nil, err
+	}
+	if next := c.pop(); next != nil {
+		return next, nil
+	}
+	pause.For(ctx, wait)
+	return c.pop(), nil
+}
+
+func (c configurationSource) pop() *traffic.Configuration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.versions) == 0 {
+		return nil
+	}
+	next := c.versions[0]
+	c.versions = c.versions[1:]
+	return next
+}
+
+type upstreamSource struct{ *source }
+
+func (u upstreamSource) Next(ctx context.Context) (traffic.UpstreamChange, error) {
+	if err := u.begin(ctx); err != nil {
+		return traffic.UpstreamChange{}, err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.changes) == 0 {
+		return traffic.UpstreamChange{}, nil
+	}
+	next := u.changes[0]
+	u.changes = u.changes[1:]
+	return next, nil
+}
+
+func version(n int64, keys ...string) *traffic.Configuration {
+	in := traffic.ConfigurationInput{Version: n, Keys: map[string]traffic.Workspace{}}
+	for _, k := range keys {
+		in.Keys[k] = traffic.Workspace{Name: "mailroom"}
+	}
+	return traffic.NewConfiguration(in)
+}
+
+func listed(id string, sequence int64, state traffic.State) traffic.UpstreamEntry {
+	return traffic.Listed(traffic.Upstream{ID: id, Pool: "reader", Address: "10.0.0.1:80", State: state, Sequence: sequence})
+}
+
+// keep plays a test with a keeper on the paused clock.
+func keep(t *testing.T, play func(t *testing.T, k *Keeper, s *source, suspended *time.Duration)) {
+	t.Helper()
+	logrus.SetOutput(io.Discard)
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		var suspended time.Duration
+		s := &source{versions: []*traffic.Configuration{version(7, "key-1")}}
+		k := NewKeeper(Options{
+			Configurations: configurationSource{s}, Upstreams: upstreamSource{s},
+			Uptime: func() time.Duration { return time.Since(begin) + suspended },
+			Bounds: Bounds{Revoke: 5 * time.Second, Drain: 2 * time.Second},
+		})
+		defer k.Close()
+		synctest.Wait()
+		play(t, k, s, &suspended)
+	})
+}
+
+func ids(upstreams []*traffic.Upstream) []string {
+	var out []string
+	for _, u := range upstreams {
+		out = append(out, u.ID)
+	}
+	return out
+}
+
+func TestNothingIsKnownAtFirst(t *testing.T) {
+	logrus.SetOutput(io.Discard)
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{away: true}
+		k := NewKeeper(Options{
+			Configurations: configurationSource{s}, Upstreams: upstreamSource{s}, Uptime: func() time.Duration { return 0 },
+			Bounds: Bounds{Revoke: 5 * time.Second, Drain: 2 * time.Second},
+		})
+		defer k.Close()
+		synctest.Wait()
+		require.False(t, k.Ready())
+		require.False(t, k.HonorsKeys())
+		require.False(t, k.Current())
+		require.Nil(t, k.Snapshot().Configuration())
+	})
+}
+
+func TestConfigurationIsInForceAtOnceAndNeverGoesBack(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *time.Duration) {
+		require.True(t, k.Ready())
+		s.set(func(s *source) { s.versions = []*traffic.Configuration{version(12), version(9)} })
+		time.Sleep(2 * time.Second)
+		require.Equal(t, int64(12), k.Snapshot().Configuration().Version())
+	})
+}
+
+// The store stops answering just after a key may have been revoked there. Counted
+// from when the last answered read was sent, no longer than the bound the host
+// honors the key; when the store is back, so is the host.
+func TestKeysAreNotHonoredForLongWithoutTheStore(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *time.Duration) {
+		s.set(func(s *source) { s.silent = true })
+		// The read that the store was answering just then still comes.
+		time.Sleep(2 * time.Second)
+		time.Sleep(5*time.Second - k.Age())
+		require.False(t, k.HonorsKeys())
+		require.False(t, k.Ready())
+		s.set(func(s *source) { s.silent = false })
+		time.Sleep(2 * time.Second)
+		require.True(t, k.HonorsKeys())
+		require.True(t, k.Ready())
+	})
+}
+
+// One read is lost, as happens now and then. The next one comes in time, so that
+// callers notice nothing.
+func TestOneLostReadCostsNothing(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *time.Duration) {
+		time.Sleep(4 * time.Second)
+		s.set(func(s *source) { s.silent = true })
+		time.Sleep(1500 * time.Millisecond)
+		s.set(func(s *source) { s.silent = false })
+		for range 50 {
+			require.True(t, k.HonorsKeys())
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// The host is suspended for a minute. Its steady clock did not count that time, and
+// neither has it read anything meanwhile.
+func TestSuspensionCountsAsAge(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, _ *source, suspended *time.Duration) {
+		require.True(t, k.HonorsKeys())
+		*suspended = time.Minute
+		require.False(t, k.HonorsKeys())
+		time.Sleep(4 * time.Second)
+		require.True(t, k.HonorsKeys())
+	})
+}
+
+// An upstream says that it leaves. An older entry that says it is ready was held up
+// and comes after that; it must not get new work again.
+func TestOlderEntryIsPassedOver(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *time.Duration) {
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{
+				{Whole: true, Entries: []traffic.UpstreamEntry{listed("a", 1, traffic.Ready), listed("b", 1, traffic.Ready)}},
+				{Entries: []traffic.UpstreamEntry{listed("a", 3, traffic.Leaving), listed("a", 2, traffic.Ready)}},
+				{Entries: []traffic.UpstreamEntry{listed("a", 2, traffic.Ready)}},
+			}
+		})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []string{"a", "b"}, ids(k.Snapshot().Upstreams("reader")))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []string{"b"}, ids(k.Snapshot().Upstreams("reader")))
+		require.False(t, k.Snapshot().Takes("a"))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []string{"b"}, ids(k.Snapshot().Upstreams("reader")))
+		_, ok := k.Snapshot().Listed("a")
+		require.True(t, ok, "other engines may still fetch prompts from it")
+	})
+}
+
+// While the store is away entries lapse though their upstreams live. After its
+// return they are believed in for two seconds, and given up if they do not come back.
+func TestLapsedEntriesAreBelievedForAWhile(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *time.Duration) {
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{{Whole: true, Entries: []traffic.UpstreamEntry{listed("a", 1, traffic.Ready), listed("b", 1, traffic.Ready)}}}
+		})
+		time.Sleep(2 * time.Second)
+		s.set(func(s *source) { s.away = true })
+		time.Sleep(10 * time.Second)
+		require.Equal(t, []string{"a", "b"}, ids(k.Snapshot().Upstreams("reader")))
+		s.set(func(s *source) {
+			s.away = false
+			s.changes = []traffic.UpstreamChange{{Whole: true}, {Entries: []traffic.UpstreamEntry{listed("b", 9, traffic.Ready)}}}
+		})
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"a", "b"}, ids(k.Snapshot().Upstreams("reader")))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []string{"b"}, ids(k.Snapshot().Upstreams("reader")))
+	})
+}
+
+// Without an outage an entry that is removed means that its upstream leaves.
+func TestRemovedEntryIsGone(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *time.Duration) {
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{
+				{Whole: true, Entries: []traffic.UpstreamEntry{listed("a", 1, traffic.Ready), listed("b", 1, traffic.Ready)}},
+				{Entries: []traffic.UpstreamEntry{traffic.Gone("a")}},
+			}
+		})
+		time.Sleep(4 * time.Second)
+		require.Equal(t, []string{"b"}, ids(k.Snapshot().Upstreams("reader")))
+	})
+}
+
+// Another upstream answers at an upstream's address.
+func TestLostUpstreamIsGoneAtOnce(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *time.Duration) {
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{{Whole: true, Entries: []traffic.UpstreamEntry{listed("a", 1, traffic.Ready), listed("b", 1, traffic.Ready)}}}
+		})
+		time.Sleep(2 * time.Second)
+		k.Lost("a")
+		synctest.Wait()
+		require.Equal(t, []string{"b"}, ids(k.Snapshot().Upstreams("reader")))
+	})
+}
+
+// An upstream fails here three times in a row, and is avoided for a while.
+func TestFailingUpstreamIsAvoided(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *time.Duration) {
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{{Whole: true, Entries: []traffic.UpstreamEntry{
+				listed("a", 1, traffic.Ready), listed("b", 1, traffic.Ready), listed("c", 1, traffic.Ready),
+			}}}
+		})
+		time.Sleep(2 * time.Second)
+		for range 3 {
+			k.Observe("a", false)
+		}
+		synctest.Wait()
+		require.True(t, k.Snapshot().Avoided("a"))
+		time.Sleep(2 * time.Second)
+		require.False(t, k.Snapshot().Avoided("a"))
+	})
+}
+
+// Reads cost the operators money: a host makes about two in three seconds for
+// each of configuration and upstreams.
+func TestReadsAreFew(t *testing.T) {
+	keep(t, func(t *testing.T, _ *Keeper, s *source, _ *time.Duration) {
+		s.set(func(s *source) { s.reads = 0 })
+		time.Sleep(30 * time.Second)
+		s.set(func(s *source) { require.LessOrEqual(t, s.reads, 60) })
+	})
+}
+
+// An upstream comes and goes between two reads, so that both are in one answer.
+// The later entry holds: it must not stay believed in until the next entry.
+func TestLaterOfTwoEntriesHolds(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *time.Duration) {
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{
+				{Whole: true, Entries: []traffic.UpstreamEntry{listed("b", 1, traffic.Ready)}},
+				{Entries: []traffic.UpstreamEntry{listed("a", 1, traffic.Ready), traffic.Gone("a")}},
+				{Entries: []traffic.UpstreamEntry{traffic.Gone("b"), listed("b", 2, traffic.Ready)}},
+			}
+		})
+		time.Sleep(6 * time.Second)
+		require.Equal(t, []string{"b"}, ids(k.Snapshot().Upstreams("reader")))
+	})
+}
+
+// An upstream is gone. An entry of before that is held up and comes only then.
+func TestHeldUpEntryOfAGoneUpstreamIsPassedOver(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *time.Duration) {
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{
+				{Whole: true, Entries: []traffic.UpstreamEntry{listed("a", 4, traffic.Ready), listed("b", 1, traffic.Ready)}},
+				{Entries: []traffic.UpstreamEntry{traffic.Gone("a"), listed("a", 3, traffic.Ready)}},
+				{Entries: []traffic.UpstreamEntry{listed("a", 3, traffic.Ready)}},
+			}
+		})
+		time.Sleep(6 * time.Second)
+		require.Equal(t, []string{"b"}, ids(k.Snapshot().Upstreams("reader")))
+	})
+}
--- a/jackdawd/internal/relay/budgets.go
+++ b/jackdawd/internal/relay/budgets.go
@@ -27,6 +27,16 @@
 	return &Budgets{ratio: ratio * localShare, pools: map[string]*dispatch.Budget{}}
 }
 
+// SetRatio puts another ratio into force; what has been earned is forgotten.
+func (b *Budgets) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ratio*localShare != b.ratio {
+		b.ratio = ratio * localShare
+		clear(b.pools)
+	}
+}
+
 // Earn counts a request to a pool.
 func (b *Budgets) Earn(pool string) { b.pool(pool).Earn() }
 
--- /dev/null
+++ b/jackdawd/internal/relay/fixture_test.go
@@ -0,0 +1,217 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/common/pause"
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/exchange"
+	"jackdawhinge/jackdawd/internal/membership"
+	"jackdawhinge/jackdawd/internal/placement"
+	"jackdawhinge/platform"
+	"jackdawhinge/platform/standin"
+	"jackdawhinge/standin/network"
+)
+
+const callersAddress = "10.0.0.1:80"
+
+// The routes of the tests; the path's first word names one.
+const configurationText = `{"version":7,"routes":[
+ {"name":"notice","host":"a.example","pathPrefix":"/notice/","type":"non_idempotent","timeoutMs":2000,"objectiveMs":150,"service":"mailbox","maxAttempts":1},
+ {"name":"scan","host":"a.example","pathPrefix":"/scan/","type":"idempotent","timeoutMs":2000,"objectiveMs":150,"service":"mailbox","maxAttempts":2},
+ {"name":"digest","host":"a.example","pathPrefix":"/digest/","type":"streaming","timeoutMs":15000,"objectiveMs":800,"gapTargetMs":400,"service":"reader","maxAttempts":2,"resumable":true,"sticky":true},
+ {"name":"sort","host":"a.example","pathPrefix":"/sort/","type":"streaming","timeoutMs":12000,"objectiveMs":400,"gapTargetMs":400,"service":"reader","maxAttempts":1,"sticky":true},
+ {"name":"open","host":"a.example","pathPrefix":"/open/","type":"idempotent","timeoutMs":2000,"objectiveMs":150,"service":"mailbox","maxAttempts":2,"public":true}],
+ "services":[{"name":"mailbox","maxConns":100},{"name":"reader","maxConns":100,"engine":{"slots":8,"kvCapacity":100000}}],
+ "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"mailroom","apiKeys":["key-1"],"priority":1}]}`
+
+// feed is a configuration and upstreams that are known from the start.
+type feed struct {
+	mu        sync.Mutex
+	given     bool
+	upstreams []traffic.Upstream
+	failing   bool
+}
+
+func (f *feed) fail() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failing = true
+}
+
+// configurations returns the configuration once and then waits like the store.
+type configurations struct{ *feed }
+
+func (c configurations) Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, error) {
+	c.mu.Lock()
+	failing, given := c.failing, c.given
+	c.given = c.given || !failing
+	c.mu.Unlock()
+	switch {
+	case failing:
+		return nil, errors.New("store is away")
+	case !given:
+		return platform.DecodeConfiguration([]byte(configurationText))
+	}
+	pause.For(ctx, wait)
+	return nil, ctx.Err()
+}
+
+type upstreams struct{ *feed }
+
+func (u upstreams) Next(context.Context) (traffic.UpstreamChange, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	change := traffic.UpstreamChange{Whole: true}
+	for _, one := range u.upstreams {
+		change.Entries = append(change.Entries, traffic.Listed(one))
+	}
+	return change, nil
+}
+
+// fixture is one host between callers and runners, over connections in memory.
+type fixture struct {
+	t       *testing.T
+	net     *network.Network
+	feed    *feed
+	handler *Handler
+	runners map[string]*standin.Runner
+	client  *http.Client
+}
+
+// run plays a test on the paused clock with the runners named: mailbox-N answer
+// calls, reader-N generate streams.
+func run(t *testing.T, runners []string, play func(t *testing.T, f *fixture)) {
+	t.Helper()
+	logrus.SetOutput(io.Discard)
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		f := &fixture{t: t, net: network.New(), feed: &feed{}, runners: map[string]*standin.Runner{}}
+		for i, id := range runners {
+			r := standin.NewRunner(id, 8)
+			address := fmt.Sprintf("10.1.0.%d:80", i+1)
+			service, _, _ := strings.Cut(id, "-")
+			f.runners[id] = r
+			f.net.Serve(address, r)
+			f.feed.upstreams = append(f.feed.upstreams, traffic.Upstream{ID: id, Pool: service, Address: address, Slots: 8, State: traffic.Ready})
+		}
+		keeper := membership.NewKeeper(membership.Options{
+			Configurations: configurations{f.feed}, Upstreams: upstreams{f.feed},
+			Uptime: func() time.Duration { return time.Since(begin) },
+			Bounds: membership.Bounds{Revoke: 5 * time.Second, Drain: 2 * time.Second},
+		})
+		client := exchange.NewClient(platform.Protocol{}, f.net.Dial)
+		f.handler = NewHandler(Options{
+			Protocol: platform.Protocol{}, Members: keeper, Client: client, Loads: placement.NewLoads(), Warmth: placement.NewWarmth(),
+			Budgets: NewBudgets(0.2), Journal: LogJournal{}, LoadMultiple: func() float64 { return 2 },
+		})
+		f.net.Serve(callersAddress, f.handler)
+		transport := &http.Transport{DialContext: f.net.Dial, DisableCompression: true}
+		f.client = &http.Client{Transport: transport}
+		// A test that fails ends here too; what still ran would hide its failure.
+		defer func() {
+			transport.CloseIdleConnections()
+			keeper.Close()
+			client.Close()
+			f.net.Kill(callersAddress)
+			for _, u := range f.feed.upstreams {
+				f.net.Kill(u.Address)
+			}
+		}()
+		synctest.Wait()
+		play(t, f)
+		// A server lingers on a connection whose request it has not read to the end.
+		time.Sleep(time.Second)
+	})
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// request returns a request of a caller to a route.
+func (f *fixture) request(method, path, id, body string) *http.Request {
+	req, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+callersAddress+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	req.Host = "a.example"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Deadline-Ms", "10000")
+	req.Header.Set("Authorization", "Bearer key-1")
+	return req
+}
+
+// stream returns a request for so many events.
+func (f *fixture) stream(path, id string, events int) *http.Request {
+	req := f.request(http.MethodPost, path, id, "prompt")
+	req.Header.Set("X-Model", "m")
+	req.Header.Set("X-Token-Usage", fmt.Sprintf("920,%d", 6*events))
+	req.Header.Set("X-Prompt-Prefix", "aa:500,bb:300,"+id+":120")
+	return req
+}
+
+func (f *fixture) do(req *http.Request) answer {
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// runs returns how often a request has run, on all runners together.
+func (f *fixture) runs(id string) int {
+	n := 0
+	for _, r := range f.runners {
+		for _, run := range r.Runs() {
+			if run.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// all makes every runner behave in a way.
+func (f *fixture) all(b func(r *standin.Runner) standin.Behavior) {
+	for _, r := range f.runners {
+		r.SetBehavior(b(r))
+	}
+}
+
+// raw takes the connection of a request over, to write what no server would.
+func raw(w http.ResponseWriter, play func(c net.Conn, buf *bufio.ReadWriter)) {
+	c, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	play(c, buf)
+}
+
+// pieces returns the events from one number to another.
+func pieces(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		b.WriteString(standin.Event(n))
+	}
+	return b.String()
+}
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -63,7 +63,7 @@
 	Budgets       *Budgets
 	Journal       Journal
 	FailureDomain string
-	LoadMultiple  float64
+	LoadMultiple  func() float64
 }
 
 // A Handler answers callers.
--- /dev/null
+++ b/jackdawd/internal/relay/handler_test.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/platform/standin"
+)
+
+func TestRequestReachesTheUpstreamUnchanged(t *testing.T) {
+	run(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		req := f.request(http.MethodPost, "/notice/a%2Fb//c?x=1&y=%20", "r1", "the body")
+		req.Header.Set("X-Tenant", "somebody-else")
+		req.Header.Set("X-Hold", "stolen")
+		req.Header.Set("Kv-From", "10.9.9.9:1/stolen")
+		req.Header.Set("X-Own", "kept")
+		req.Header.Set("Connection", "X-Hop")
+		req.Header.Set("X-Hop", "dropped")
+		got := f.do(req)
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, "answer of mailbox-1 to r1", got.body)
+		require.Equal(t, "seal-of-mailbox-1-r1", got.header.Get("X-Response-Seal"))
+		run := f.runners["mailbox-1"].Runs()[0]
+		require.Equal(t, http.MethodPost, run.Method)
+		require.Equal(t, "/notice/a%2Fb//c?x=1&y=%20", run.Target)
+		require.Equal(t, "the body", run.Body)
+		require.Equal(t, "mailroom", run.Header.Get("X-Tenant"))
+		require.Equal(t, "kept", run.Header.Get("X-Own"))
+		for _, name := range []string{"Authorization", "X-Hold", "Kv-From", "X-Hop"} {
+			require.Empty(t, run.Header.Get(name), name)
+		}
+		left, err := strconv.Atoi(run.Header.Get("X-Deadline-Ms"))
+		require.NoError(t, err)
+		require.LessOrEqual(t, left, 2000, "the route's timeout binds where the caller would wait longer")
+	})
+}
+
+func TestChunkedBodyArrivesWhole(t *testing.T) {
+	run(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		body := strings.Repeat("0123456789", 5000)
+		req := f.request(http.MethodPost, "/notice/x", "r1", body)
+		req.ContentLength = -1
+		require.Equal(t, http.StatusOK, f.do(req).status)
+		require.Equal(t, body, f.runners["mailbox-1"].Runs()[0].Body)
+	})
+}
+
+func TestRefusalsBeforeAnyUpstream(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		change func(r *http.Request)
+		status int
+	}{
+		"unknown route":   {"/nowhere/x", func(*http.Request) {}, http.StatusNotFound},
+		"unknown host":    {"/scan/x", func(r *http.Request) { r.Host = "b.example" }, http.StatusNotFound},
+		"unknown key":     {"/scan/x", func(r *http.Request) { r.Header.Set("Authorization", "Bearer old") }, http.StatusUnauthorized},
+		"no key":          {"/scan/x", func(r *http.Request) { r.Header.Del("Authorization") }, http.StatusUnauthorized},
+		"headers too big": {"/scan/x", func(r *http.Request) { r.Header.Set("X-Big", strings.Repeat("x", 5000)) }, http.StatusRequestHeaderFieldsTooLarge},
+		"bad deadline":    {"/scan/x", func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "soon") }, http.StatusBadRequest},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			run(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+				req := f.request(http.MethodGet, test.path, "r1", "")
+				test.change(req)
+				require.Equal(t, test.status, f.do(req).status)
+				require.Zero(t, f.runs("r1"))
+			})
+		})
+	}
+}
+
+func TestBodyBeyondTheLimitIsRefused(t *testing.T) {
+	run(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		got := f.do(f.request(http.MethodPost, "/notice/x", "r1", strings.Repeat("x", 100001)))
+		require.Equal(t, http.StatusRequestEntityTooLarge, got.status)
+		require.Zero(t, f.runs("r1"))
+	})
+}
+
+func TestPublicRouteNeedsNoKey(t *testing.T) {
+	run(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		req := f.request(http.MethodGet, "/open/x", "r1", "")
+		req.Header.Del("Authorization")
+		require.Equal(t, http.StatusOK, f.do(req).status)
+	})
+}
+
+// The store goes away. A key may be revoked there without this host's hearing of
+// it, and an unknown key or route may have been added. So a while later keyed
+// requests are refused as not run, never as unknown, while public ones go on.
+func TestHostOutOfTouchHonorsNoKeys(t *testing.T) {
+	run(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		f.feed.fail()
+		time.Sleep(3 * time.Second)
+		require.Equal(t, http.StatusOK, f.do(f.request(http.MethodGet, "/scan/x", "r1", "")).status, "a revoked key may be honored for 5 s")
+		time.Sleep(3 * time.Second)
+		got := f.do(f.request(http.MethodGet, "/scan/x", "r2", ""))
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+		require.Zero(t, f.runs("r2"))
+		require.Equal(t, http.StatusServiceUnavailable, f.do(f.request(http.MethodGet, "/nowhere/x", "r3", "")).status)
+		require.Equal(t, http.StatusOK, f.do(f.request(http.MethodGet, "/open/x", "r4", "")).status)
+	})
+}
+
+// A host is told to stop. Requests on kept connections are still served for a
+// while, each answer asking the caller to leave, and then refused as not run.
+func TestStoppingHostAsksCallersToLeave(t *testing.T) {
+	run(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		f.handler.Stopping(time.Now().Add(2 * time.Second))
+		req := f.request(http.MethodGet, "/scan/x", "r1", "")
+		resp, err := f.client.Do(req)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.True(t, resp.Close)
+		require.NoError(t, resp.Body.Close())
+		time.Sleep(3 * time.Second)
+		require.Equal(t, http.StatusServiceUnavailable, f.do(f.request(http.MethodGet, "/scan/x", "r2", "")).status)
+		require.Zero(t, f.runs("r2"))
+	})
+}
+
+// The caller closes its connection while an engine generates. The engine would
+// work on for nobody; closing the connection to it tells it at once.
+func TestUpstreamStopsWhenTheCallerLeaves(t *testing.T) {
+	run(t, []string{"reader-1"}, func(t *testing.T, f *fixture) {
+		ctx, leave := context.WithCancel(t.Context())
+		resp, err := f.client.Do(f.stream("/digest/x", "r1", 100).WithContext(ctx))
+		require.NoError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		leave()
+		_ = resp.Body.Close()
+		time.Sleep(50 * time.Millisecond)
+		require.True(t, f.runners["reader-1"].Runs()[0].Cancelled)
+	})
+}
+
+// A service hangs. At the route's timeout the caller gets a final answer, which
+// does not say that the request was not run.
+func TestRouteTimeoutEndsTheWait(t *testing.T) {
+	run(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		f.all(func(u *standin.Runner) standin.Behavior {
+			return func(_ http.ResponseWriter, r *http.Request, body []byte) bool {
+				u.Note(r, body)
+				<-r.Context().Done()
+				return true
+			}
+		})
+		begin := time.Now()
+		got := f.do(f.request(http.MethodPost, "/notice/x", "r1", "body"))
+		require.Equal(t, http.StatusGatewayTimeout, got.status)
+		require.Equal(t, 2*time.Second, time.Since(begin))
+	})
+}
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -125,7 +125,7 @@
 	}
 	return placement.Choose(placement.Choice{
 		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), Key: j.key, Cached: j.cached,
-		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple, Tie: rand.Uint64(),
+		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple(), Tie: rand.Uint64(),
 	})
 }
 
