--- /dev/null
+++ b/jackdawd/internal/placement/choose_test.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/common/traffic"
+)
+
+func pool(n int) []*traffic.Upstream {
+	var out []*traffic.Upstream
+	for i := range n {
+		out = append(out, &traffic.Upstream{ID: fmt.Sprintf("engine-%d", i), FailureDomain: fmt.Sprintf("d%d", i%3)})
+	}
+	return out
+}
+
+func cachedChoice(upstreams []*traffic.Upstream, loads []float64, key uint64) Choice {
+	return Choice{Upstreams: upstreams, Loads: loads, Key: key, Cached: true, Multiple: 2}
+}
+
+func TestNoUpstreamIsNoChoice(t *testing.T) {
+	require.Nil(t, Choose(Choice{}))
+}
+
+func TestRequestsOfOnePromptMeet(t *testing.T) {
+	upstreams := pool(9)
+	first := Choose(cachedChoice(upstreams, make([]float64, 9), 42))
+	for tie := range uint64(20) {
+		c := cachedChoice(upstreams, make([]float64, 9), 42)
+		c.Tie = tie
+		require.Same(t, first, Choose(c))
+	}
+}
+
+// An engine is replaced. Only the prompts that it had move; all others stay where
+// they are cached.
+func TestOnlyTheLeaversPromptsMove(t *testing.T) {
+	before, moved := pool(10), 0
+	after := before[1:]
+	for key := range uint64(1000) {
+		was := Choose(cachedChoice(before, make([]float64, 10), xxhash.Sum64String(fmt.Sprint(key))))
+		is := Choose(cachedChoice(after, make([]float64, 9), xxhash.Sum64String(fmt.Sprint(key))))
+		if was != is {
+			require.Same(t, before[0], was)
+			moved++
+		}
+	}
+	require.InDelta(t, 100, moved, 40)
+}
+
+func TestFullEngineIsPassedOver(t *testing.T) {
+	upstreams := pool(4)
+	loads := []float64{4, 4, 4, 4}
+	usual := Choose(cachedChoice(upstreams, loads, 42))
+	for i, u := range upstreams {
+		if u == usual {
+			loads[i] = 30
+		}
+	}
+	other := Choose(cachedChoice(upstreams, loads, 42))
+	require.NotSame(t, usual, other)
+	require.Same(t, other, Choose(cachedChoice(upstreams, loads, 42)), "the prompt's second engine is the same for all")
+}
+
+func TestPlainServicePrefersNearUpstreams(t *testing.T) {
+	upstreams := pool(3)
+	c := Choice{Upstreams: upstreams, Loads: []float64{1, 0, 0}, FailureDomain: "d0"}
+	require.Same(t, upstreams[0], Choose(c), "one request more is nearer than another failure domain")
+	c.Loads = []float64{3, 0, 0}
+	require.NotSame(t, upstreams[0], Choose(c))
+}
+
+// One prompt gets a third of all requests at once, from many hosts that know the
+// loads only from answers. No engine gets far above twice the mean.
+func TestHotPromptStaysInsideTheMultiple(t *testing.T) {
+	upstreams, now := pool(18), time.Unix(0, 0)
+	actual := map[string]int{}
+	hosts := make([]*Loads, 9)
+	for i := range hosts {
+		hosts[i] = NewLoads()
+	}
+	type request struct {
+		host, ends int
+		id         string
+	}
+	var open []request
+	over, placed := 0, 0
+	for step := range 6000 {
+		now = now.Add(5 * time.Millisecond)
+		still := open[:0]
+		for _, r := range open {
+			if r.ends > step {
+				still = append(still, r)
+				continue
+			}
+			actual[r.id]--
+			hosts[r.host].End(now, r.id)
+		}
+		open = still
+		host, key := step%9, xxhash.Sum64String(fmt.Sprint(step%60))
+		if step%3 == 0 {
+			key = 7
+		}
+		u := Choose(cachedChoice(upstreams, hosts[host].All(now, upstreams), key))
+		hosts[host].Begin(now, u.ID)
+		actual[u.ID]++
+		open = append(open, request{host: host, ends: step + 240, id: u.ID})
+		hosts[host].Told(now, u.ID, traffic.Load{Running: actual[u.ID]})
+		mean := float64(len(open)) / 18
+		placed++
+		if float64(actual[u.ID]) > 2*mean+3 {
+			over++
+		}
+	}
+	require.Less(t, float64(over)/float64(placed), 0.03)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{20, 150, 880} {
+		b.Run(fmt.Sprintf("%d-engines", n), func(b *testing.B) {
+			upstreams, loads := pool(n), make([]float64, n)
+			key := uint64(0)
+			for b.Loop() {
+				key++
+				Choose(cachedChoice(upstreams, loads, key))
+			}
+		})
+	}
+}
