--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -15,12 +16,15 @@
 
 	"jackdawhinge/jackdawd/internal/entry"
 	"jackdawhinge/jackdawd/internal/membership"
+	"jackdawhinge/jackdawd/internal/telemetry"
 	"jackdawhinge/platform"
 )
 
 const (
 	// reloadEvery is how often the settings file is read again, which may change without a signal.
 	reloadEvery = 2 * time.Second
+	// flushWithin is how long the last log lines may take at a stop.
+	flushWithin = 100 * time.Millisecond
 	// memoryShare is the part of the host's memory that the garbage collector keeps
 	// the heap below; the rest is for buffers of the kernel and the program's text.
 	memoryShare = 0.6
@@ -46,17 +50,23 @@
 	if err != nil {
 		return err
 	}
-	logrus.SetFormatter(&logrus.JSONFormatter{})
-	logrus.SetOutput(os.Stdout)
+	lines := telemetry.NewLogWriter(os.Stdout)
+	defer lines.Close(flushWithin)
+	setUpLogger(logrus.StandardLogger(), lines, s.Host)
+	usual := logrus.New()
+	setUpLogger(usual, lines.Plentiful(), s.Host)
+	meter := telemetry.NewMeter()
+	meter.Gauge("log_lines_dropped", lines.Dropped)
 	klog.SetLogger(klog.NewFilter(klog.DefaultLogger, klog.FilterLevel(klog.LevelError)))
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	debug.SetGCPercent(collectAt)
 	store := platform.NewStore(s.Store)
+	meter.Family("store_calls", "answer", store.Answers)
 	host := entry.NewHost(entry.Options{
 		Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain,
 		Protocol:       platform.Protocol{},
 		Configurations: platform.NewConfigurationFeed(store), Upstreams: platform.NewUpstreamFeed(store),
-		Bounds: bounds(s.Bounds),
+		Bounds: bounds(s.Bounds), Meter: meter, Usual: usual, Unusual: logrus.StandardLogger(),
 	})
 	go func() { follow(ctx, hangups, s, store, host) }()
 	served := host.Start(ctx)
@@ -100,3 +110,22 @@
 		logrus.WithFields(logrus.Fields{"store": s.Store, "revoke": s.Bounds.Revoke.String(), "drain": s.Bounds.Drain.String()}).Info("settings: The changed file is in force.")
 	}
 }
+
+// setUpLogger makes a logger write JSON lines that name the host.
+func setUpLogger(l *logrus.Logger, out io.Writer, host string) {
+	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	l.SetOutput(out)
+	l.AddHook(hostHook{host})
+}
+
+// hostHook adds the host's name to each line.
+type hostHook struct{ host string }
+
+// Levels returns all levels.
+func (hostHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire adds the host's name.
+func (h hostHook) Fire(e *logrus.Entry) error {
+	e.Data["host"] = h.host
+	return nil
+}
--- a/jackdawd/internal/dispatch/budget.go
+++ b/jackdawd/internal/dispatch/budget.go
@@ -45,3 +45,10 @@
 	b.left--
 	return true
 }
+
+// Left returns how many retries may be made, fractions included.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left
+}
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -15,6 +15,7 @@
 	"jackdawhinge/jackdawd/internal/membership"
 	"jackdawhinge/jackdawd/internal/placement"
 	"jackdawhinge/jackdawd/internal/relay"
+	"jackdawhinge/jackdawd/internal/stories"
 	"jackdawhinge/jackdawd/internal/telemetry"
 )
 
@@ -51,6 +52,10 @@
 	Configurations membership.Configurations
 	Upstreams      membership.Upstreams
 	Bounds         Bounds
+	Meter          *telemetry.Meter
+	// Usual and Unusual take the lines on ordinary requests and on all others.
+	Usual   *logrus.Logger
+	Unusual *logrus.Logger
 }
 
 // Bounds are what operators want kept; they may change while the host runs.
@@ -93,10 +98,11 @@
 	h.budgets = relay.NewBudgets(o.Bounds.RetryRatio)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Members: h.keeper, Client: h.client, Loads: h.loads, Warmth: placement.NewWarmth(),
-		Budgets: h.budgets, Journal: relay.LogJournal{},
+		Budgets: h.budgets, Journal: stories.NewWriter(o.Usual, o.Unusual, o.Meter),
 		FailureDomain: o.FailureDomain, LoadMultiple: func() float64 { return h.bounds.Load().LoadMultiple },
 	})
-	h.serve(telemetry.NewMeter())
+	h.registerGauges(o.Meter)
+	h.serve(o.Meter)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	go func() {
--- a/jackdawd/internal/membership/snapshot.go
+++ b/jackdawd/internal/membership/snapshot.go
@@ -22,6 +22,9 @@
 // identifiers; the slice must not be changed.
 func (s *Snapshot) Upstreams(pool string) []*traffic.Upstream { return s.pools[pool] }
 
+// Pools returns the upstreams that take new work by pool; the map must not be changed.
+func (s *Snapshot) Pools() map[string][]*traffic.Upstream { return s.pools }
+
 // Takes reports whether an upstream still takes new work.
 func (s *Snapshot) Takes(id string) bool {
 	u, ok := s.listed[id]
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -72,11 +72,16 @@
 }
 
 func (c Choice) bound() float64 {
+	return c.Multiple*boundShare*c.Mean() + boundSlack
+}
+
+// Mean returns the mean load of the upstreams.
+func (c Choice) Mean() float64 {
 	sum := 0.0
 	for _, l := range c.Loads {
 		sum += l
 	}
-	return c.Multiple*boundShare*sum/float64(len(c.Loads)) + boundSlack
+	return sum / float64(max(len(c.Loads), 1))
 }
 
 // lightest returns the upstream with the least load for its slots; one nearby is preferred.
--- a/jackdawd/internal/relay/budgets.go
+++ b/jackdawd/internal/relay/budgets.go
@@ -12,7 +12,7 @@
 	// requests' part, all together keep below the whole.
 	localShare = 0.75
 	// burst is how many retries a host may make at once, and has at its start.
-	burst = 3
+	burst = 2
 )
 
 // Budgets holds the retries that may still be made to each pool.
@@ -43,6 +43,17 @@
 // Spend reports whether a retry may be sent to a pool, and counts it.
 func (b *Budgets) Spend(pool string) bool { return b.pool(pool).Spend() }
 
+// Left returns how many retries may be made to each pool.
+func (b *Budgets) Left() map[string]int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := map[string]int64{}
+	for name, p := range b.pools {
+		left[name] = int64(p.Left())
+	}
+	return left
+}
+
 func (b *Budgets) pool(name string) *dispatch.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -47,6 +47,7 @@
 // Members is what the host believes of configuration and upstreams.
 type Members interface {
 	Snapshot() *membership.Snapshot
+	Age() time.Duration
 	HonorsKeys() bool
 	Current() bool
 	Observe(id string, ok bool)
@@ -118,7 +119,7 @@
 
 // admit reads the request and checks it against the configuration.
 func (j *job) admit() *work.Refusal {
-	j.snapshot = j.Members.Snapshot()
+	j.snapshot, j.age = j.Members.Snapshot(), j.Members.Age()
 	c := j.snapshot.Configuration()
 	if c == nil {
 		return work.Refuse(http.StatusServiceUnavailable, work.NotReady, "the host has no configuration yet").Retry(retryLater)
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -33,6 +33,8 @@
 	// key is the hash of the prompt that the request shares with others, if cached is set.
 	key    uint64
 	cached bool
+	// fetchFrom is the engine that the one chosen fetches the prompt from, or nil.
+	fetchFrom *traffic.Upstream
 	// tried names the upstreams that were sent the request or could not be reached.
 	tried []string
 	// sent counts the upstreams that were sent the request.
@@ -40,8 +42,14 @@
 	// mayHaveRun is set once an upstream may have executed the request.
 	mayHaveRun bool
 	// begun is set once the head of an answer has gone to the caller.
-	begun bool
-	split events.Splitter
+	begun  bool
+	status int
+	split  events.Splitter
+
+	// age is how old the configuration may have been when the request arrived.
+	age        time.Duration
+	firstEvent time.Duration
+	steps      []Step
 }
 
 // verdict says how a try at one upstream ended.
@@ -99,6 +107,7 @@
 			break
 		}
 		last = j.try(ctx, upstream)
+		j.note(Step{Decision: Tried, Upstream: upstream.ID, Verdict: string(last.verdict), Err: last.err})
 		if !j.again(ctx, last) {
 			break
 		}
@@ -120,13 +129,35 @@
 			fit = append(fit, u)
 		}
 	}
+	spokenAgainst := len(avoided)
 	if len(fit) == 0 {
 		fit = avoided
 	}
-	return placement.Choose(placement.Choice{
+	choice := placement.Choice{
 		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), Key: j.key, Cached: j.cached,
 		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple(), Tie: rand.Uint64(),
-	})
+	}
+	upstream := placement.Choose(choice)
+	if upstream == nil {
+		j.note(Step{Decision: Stopped, Reason: "no-upstream", Avoided: spokenAgainst})
+		return nil
+	}
+	j.fetchFrom = j.source(upstream)
+	placed := Step{Decision: Placed, Upstream: upstream.ID, Candidates: len(fit), Avoided: spokenAgainst, Mean: choice.Mean()}
+	placed.Load = j.Loads.Estimate(time.Now(), upstream.ID)
+	if j.fetchFrom != nil {
+		placed.FetchFrom = j.fetchFrom.ID
+	}
+	j.note(placed)
+	return upstream
+}
+
+// source returns the engine that the one given may fetch the prompt from, or nil.
+func (j *job) source(to *traffic.Upstream) *traffic.Upstream {
+	if !j.cached {
+		return nil
+	}
+	return j.Warmth.Source(time.Now(), j.key, to, j.snapshot.Upstreams(j.pool.Name), j.snapshot.Listed)
 }
 
 func contains(names []string, name string) bool {
@@ -143,30 +174,50 @@
 	if r.verdict == answered || r.verdict == callerLeft || ctx.Err() != nil {
 		return false
 	}
-	if r.verdict == unsent {
-		// No upstream has seen it, so that trying another costs none of them anything.
-		return true
+	if reason := j.denied(r); reason != "" {
+		j.note(Step{Decision: Stopped, Reason: reason})
+		return false
+	}
+	if id := j.split.LastID(); id != "" {
+		j.note(Step{Decision: Resumed, ResumeAfter: id})
+	} else {
+		j.note(Step{Decision: Retried})
 	}
-	allowed := r.verdict == replaced || j.sent < j.route.MaxUpstreams
+	return true
+}
+
+// denied returns why a request may not be tried again, or "" if it may.
+func (j *job) denied(r result) string {
 	harmless := r.verdict == rejected || r.verdict == replaced || j.route.Repeatable()
-	return allowed && harmless && j.Budgets.Spend(j.pool.Name)
+	switch {
+	case r.verdict == unsent:
+		// No upstream has seen it, so that trying another costs none of them anything.
+		return ""
+	case r.verdict != replaced && j.sent >= j.route.MaxUpstreams:
+		return "upstreams-bounded"
+	case !harmless:
+		return "may-have-run"
+	case !j.Budgets.Spend(j.pool.Name):
+		return "budget-spent"
+	}
+	return ""
 }
 
 // finish ends a request that no upstream has answered.
 func (j *job) finish(ctx context.Context, last result) {
 	switch {
 	case last.verdict == answered:
-		j.Journal.Answered(j.entry(last))
+		j.end(Answered, j.status, nil)
 	case last.verdict == callerLeft || j.r.Context().Err() != nil:
-		j.Journal.Left(j.entry(last))
+		j.end(Left, j.status, nil)
 		// Nobody reads an answer; what has gone out must not look complete.
 		panic(http.ErrAbortHandler)
 	case j.begun:
-		j.Journal.Broken(j.entry(last))
+		j.end(BrokenOff, j.status, nil)
 		panic(http.ErrAbortHandler)
 	case last.answer != nil && !last.answer.notRun:
-		j.Journal.Answered(j.entry(last))
 		j.pass(last.answer)
+		j.end(Answered, j.status, nil)
 	default:
 		j.refuse(j.refusal(ctx, last))
 	}
@@ -193,7 +244,7 @@
 
 // refuse answers with a refusal.
 func (j *job) refuse(r *work.Refusal) {
-	j.Journal.Refused(j.entry(result{}), r)
+	defer j.end(Refused, r.Status, r)
 	h := j.w.Header()
 	h.Set("Content-Type", "application/json")
 	j.Protocol.Refusal(h, j.request.ID, r.RetryAfter)
@@ -208,11 +259,8 @@
 		Upstream: u.ID, Workspace: j.workspace.Name, TimeLeft: time.Until(j.deadline),
 		Urgency: urgency(j.workspace, j.route), ResumeAfter: j.split.LastID(),
 	}
-	if !j.cached {
-		return hop
-	}
-	if from := j.Warmth.Source(time.Now(), j.key, u, j.snapshot.Upstreams(j.pool.Name), j.snapshot.Listed); from != nil {
-		hop.FetchFrom = from.Address
+	if j.fetchFrom != nil {
+		hop.FetchFrom = j.fetchFrom.Address
 	}
 	return hop
 }
--- a/jackdawd/internal/relay/journal.go
+++ b/jackdawd/internal/relay/journal.go
@@ -3,63 +3,110 @@
 import (
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"jackdawhinge/jackdawd/internal/work"
 )
 
-// An Entry is what is told of a request that has ended.
-type Entry struct {
-	Request string
-	Route   string
-	Pool    string
-	Tried   []string
+// A Decision is what was decided on a request at one moment.
+type Decision string
+
+// The decisions.
+const (
+	Placed  Decision = "placed"
+	Tried   Decision = "tried"
+	Retried Decision = "retried"
+	Resumed Decision = "resumed"
+	Stopped Decision = "stopped"
+)
+
+// An Outcome is how a request ended.
+type Outcome string
+
+// The outcomes.
+const (
+	// Answered: the caller has an upstream's whole answer.
+	Answered Outcome = "answered"
+	// Refused: the caller has an answer of the host's own.
+	Refused Outcome = "refused"
+	// BrokenOff: the caller has part of an answer and sees that it is no whole one.
+	BrokenOff Outcome = "broken-off"
+	// Left: the caller did not wait for the answer.
+	Left Outcome = "left"
+)
+
+// A Step is one decision on a request, with what decided it.
+type Step struct {
+	After    time.Duration
+	Decision Decision
+	Upstream string
+	// Candidates and Avoided count the upstreams that were to be had and those that evidence speaks against.
+	Candidates int
+	Avoided    int
+	// Load is what the chosen upstream was thought to have, Mean what its pool has.
+	Load float64
+	Mean float64
+	// FetchFrom is the upstream that the chosen one was told to fetch the prompt from.
+	FetchFrom string
+	// Verdict and Err are how a try ended.
 	Verdict string
-	Took    time.Duration
 	Err     error
+	// Reason says why a request was not tried again.
+	Reason string
+	// ResumeAfter is the last event that the caller had when its stream went on elsewhere.
+	ResumeAfter string
 }
 
-// A Journal takes in how requests ended.
-type Journal interface {
-	Answered(e Entry)
-	Left(e Entry)
-	Broken(e Entry)
-	Refused(e Entry, r *work.Refusal)
+// A Story is what is told of a request that has ended.
+type Story struct {
+	Request   string
+	Route     string
+	Kind      string
+	Workspace string
+	Pool      string
+	// Version is the configuration that the request was checked against, and Age how long before that it had been confirmed.
+	Version int64
+	Age     time.Duration
+	Arrived time.Time
+	Steps   []Step
+	Outcome Outcome
+	Status  int
+	Refusal *work.Refusal
+	// FirstEvent is when the answer began to go out; 0 if it did not.
+	FirstEvent time.Duration
+	Took       time.Duration
 }
 
-func (j *job) entry(r result) Entry {
-	e := Entry{Request: j.request.ID, Pool: j.pool.Name, Tried: j.tried, Verdict: string(r.verdict), Took: time.Since(j.arrived), Err: r.err}
-	if j.route != nil {
-		e.Route = j.route.Name
+// Tries returns how many upstreams the request was sent to.
+func (s *Story) Tries() int {
+	n := 0
+	for _, step := range s.Steps {
+		if step.Decision == Placed {
+			n++
+		}
 	}
-	return e
+	return n
 }
 
-// A LogJournal writes how requests ended to the log.
-type LogJournal struct{}
-
-// Answered writes nothing: an answered request needs no explanation.
-func (LogJournal) Answered(e Entry) {
-	if len(e.Tried) > 1 {
-		fields(e).Info("relay: Answered after more than one try.")
-	}
+// A Journal takes in how requests ended.
+type Journal interface {
+	Ended(s *Story)
 }
 
-// Left writes that the caller left.
-func (LogJournal) Left(e Entry) { fields(e).Debug("relay: The caller left.") }
-
-// Broken writes that an answer broke off.
-func (LogJournal) Broken(e Entry) { fields(e).Warn("relay: The answer broke off.") }
-
-// Refused writes why a request was refused.
-func (LogJournal) Refused(e Entry, r *work.Refusal) {
-	fields(e).WithFields(logrus.Fields{"code": r.Code, "outcome": r.Outcome, "status": r.Status, "reason": r.Message}).Info("relay: Refused.")
+func (j *job) note(s Step) {
+	s.After = time.Since(j.arrived)
+	j.steps = append(j.steps, s)
 }
 
-func fields(e Entry) *logrus.Entry {
-	f := logrus.Fields{"request": e.Request, "route": e.Route, "pool": e.Pool, "tried": e.Tried, "verdict": e.Verdict, "took": e.Took.String()}
-	if e.Err != nil {
-		f["error"] = e.Err.Error()
+// end tells how the request ended.
+func (j *job) end(o Outcome, status int, refusal *work.Refusal) {
+	s := &Story{
+		Request: j.request.ID, Workspace: j.workspace.Name, Pool: j.pool.Name, Arrived: j.arrived, Steps: j.steps,
+		Outcome: o, Status: status, Refusal: refusal, FirstEvent: j.firstEvent, Took: time.Since(j.arrived), Age: j.age,
+	}
+	if j.route != nil {
+		s.Route, s.Kind = j.route.Name, string(j.route.Kind)
+	}
+	if j.snapshot != nil && j.snapshot.Configuration() != nil {
+		s.Version = j.snapshot.Configuration().Version()
 	}
-	return logrus.WithFields(f)
+	j.Journal.Ended(s)
 }
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -157,7 +157,7 @@
 		// The server would else guess a type that the upstream did not send.
 		j.w.Header()["Content-Type"] = nil
 	}
-	j.begun = true
+	j.begun, j.status, j.firstEvent = true, status, time.Since(j.arrived)
 	j.w.WriteHeader(status)
 }
 
--- a/jackdawd/internal/telemetry/meter.go
+++ b/jackdawd/internal/telemetry/meter.go
@@ -80,6 +80,20 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+// Count counts one more of a kind, which label names and values in turn describe.
+func (m *Meter) Count(name string, labels ...string) {
+	metrics.GetOrRegisterCounter(fullName(name, labels), m.registry).Inc(1)
+}
+
+// Time takes in how long something of a kind took.
+func (m *Meter) Time(name string, took time.Duration, labels ...string) {
+	m.timerOf(fullName(name, labels)).Update(took)
+}
+
+func fullName(name string, labels []string) string {
+	return strings.Join(append([]string{name}, labels...), labelMark)
+}
+
 // Gauge registers a value that is read when metrics are collected.
 func (m *Meter) Gauge(name string, read func() int64) {
 	m.registry.GetOrRegister(name, metrics.NewFunctionalGauge(read))
@@ -97,7 +111,10 @@
 }
 
 func (m *Meter) timer(name, class string) metrics.Timer {
-	full := strings.Join([]string{name, "class", class}, labelMark)
+	return m.timerOf(fullName(name, []string{"class", class}))
+}
+
+func (m *Meter) timerOf(full string) metrics.Timer {
 	created := func() metrics.Timer {
 		return metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)), metrics.NewMeter())
 	}
