--- a/jackdaw/internal/cmd/statuscmd.go
+++ b/jackdaw/internal/cmd/statuscmd.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"jackdawhinge/common/report"
+	"jackdawhinge/common/targets"
 )
 
 const queryTimeout = 5 * time.Second
@@ -103,10 +104,13 @@
 
 // query asks the host of the settings.
 func (c *config) query(ctx context.Context, path string, q url.Values, v any) error {
-	s, err := c.settings()
+	s, err := c.anySettings()
 	if err != nil {
 		return err
 	}
+	if s.Host == "" {
+		return fmt.Errorf("read settings %s: %w", c.path, &targets.FieldError{Field: "host", Problem: "is missing"})
+	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Host+path+"?"+q.Encode(), http.NoBody)
--- /dev/null
+++ b/jackdaw/internal/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace puts together from the logs of hosts what became of one request.
+package trace
--- /dev/null
+++ b/jackdaw/internal/trace/story_test.go
@@ -0,0 +1,42 @@
+package trace
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const logs = `noise
+{"host":"h1","msg":"membership: A configuration is in force.","time":"2026-01-01T00:00:01Z","version":3}
+{"host":"h1","msg":"membership: A configuration is in force.","time":"2026-01-01T00:00:02Z","version":4}
+{"host":"h2","msg":"membership: A configuration is in force.","time":"2026-01-01T00:00:02Z","version":9}
+{"host":"h1","msg":"membership: An upstream is avoided for failing here.","upstream":"u1","time":"2026-01-01T00:00:03Z"}
+{"host":"h1","msg":"membership: An upstream is avoided for failing here.","upstream":"u9","time":"2026-01-01T00:00:03Z"}
+h1 | {"host":"h1","msg":"relay: Answered.","request":"r1","status":200,"time":"2026-01-01T00:00:06Z"}
+{"host":"h1","msg":"relay: Placed.","request":"r1","upstream":"u1","time":"2026-01-01T00:00:05Z"}
+{"host":"h1","msg":"membership: The configuration cannot be read. The last one stays in force.","time":"2026-01-01T00:00:05.5Z"}
+{"host":"h1","msg":"relay: Placed.","request":"r2","upstream":"u1","time":"2026-01-01T00:00:05Z"}
+{"host":"h1","msg":"membership: The configuration can be read again.","time":"2026-01-01T00:00:07Z"}
+{"host":"h1","msg":"bad time","request":"r1","time":"yesterday"}
+`
+
+func TestStoryHasTheBeliefsInForce(t *testing.T) {
+	l := NewLog("r1")
+	require.NoError(t, l.Read(strings.NewReader(logs)))
+	require.Equal(t, 2, l.Skipped())
+	var b strings.Builder
+	require.NoError(t, Write(&b, l.Story()))
+	require.Equal(t, `00:00:02.000  h1               membership: A configuration is in force. version=4
+00:00:03.000  h1               membership: An upstream is avoided for failing here. upstream=u1
+00:00:05.000  h1               relay: Placed. upstream=u1
+00:00:05.500  h1               membership: The configuration cannot be read. The last one stays in force.
+00:00:06.000  h1               relay: Answered. status=200
+`, b.String())
+}
+
+func TestUnknownRequestHasNoStory(t *testing.T) {
+	l := NewLog("r3")
+	require.NoError(t, l.Read(strings.NewReader(logs)))
+	require.Empty(t, l.Story())
+}
--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -63,7 +63,7 @@
 	store := platform.NewStore(s.Store)
 	meter.Family("store_calls", "answer", store.Answers)
 	host := entry.NewHost(entry.Options{
-		Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain,
+		Name: s.Host, Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain,
 		Protocol:       platform.Protocol{},
 		Configurations: platform.NewConfigurationFeed(store), Upstreams: platform.NewUpstreamFeed(store),
 		Bounds: bounds(s.Bounds), Meter: meter, Usual: usual, Unusual: logrus.StandardLogger(),
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -43,6 +43,7 @@
 
 // Options are what a host is made of.
 type Options struct {
+	Name string
 	// Callers, Readiness and Inner are addresses to listen on; Inner serves metrics and may be empty.
 	Callers        string
 	Readiness      string
@@ -135,7 +136,7 @@
 	h.callers.ConnState = h.idle.note
 	h.ready = newServer(h.options.Readiness, http.HandlerFunc(h.answerReadiness))
 	if h.options.Inner != "" {
-		h.inner = newServer(h.options.Inner, meter.Handler())
+		h.inner = newServer(h.options.Inner, h.adminHandler(meter.Handler()))
 	}
 }
 
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -60,6 +60,15 @@
 	return c.lightest()
 }
 
+// Rank returns upstreams in a prompt's own order, the one where it is usually cached first.
+func Rank(key uint64, upstreams []*traffic.Upstream) []*traffic.Upstream {
+	out := make([]*traffic.Upstream, len(upstreams))
+	for n, i := range rank(key, upstreams) {
+		out[n] = upstreams[i]
+	}
+	return out
+}
+
 // rank returns the indexes of upstreams in a prompt's own order, by rendezvous hashing.
 func rank(key uint64, upstreams []*traffic.Upstream) []int {
 	order := make([]int, len(upstreams))
--- a/jackdawd/internal/relay/once_test.go
+++ b/jackdawd/internal/relay/once_test.go
@@ -270,3 +270,23 @@
 		require.Equal(t, http.StatusOK, f.do(f.request(http.MethodGet, "/scan/x", "r2", "")).status)
 	})
 }
+
+// On-call engineers explain a retried request from what is told of it.
+func TestStoryTellsEveryDecision(t *testing.T) {
+	run(t, []string{"mailbox-1", "mailbox-2"}, func(t *testing.T, f *fixture) {
+		f.all(dropped)
+		require.Equal(t, http.StatusBadGateway, f.do(f.request(http.MethodGet, "/scan/x", "r1", "")).status)
+		story := f.journal.last()
+		require.Equal(t, "r1", story.Request)
+		require.Equal(t, "mailroom", story.Workspace)
+		require.Equal(t, int64(7), story.Version)
+		require.Equal(t, Refused, story.Outcome)
+		var decisions []Decision
+		for _, s := range story.Steps {
+			decisions = append(decisions, s.Decision)
+		}
+		require.Equal(t, []Decision{Placed, Tried, Retried, Placed, Tried, Stopped}, decisions)
+		require.Equal(t, "upstreams-bounded", story.Steps[5].Reason)
+		require.Equal(t, 1, story.Steps[3].Candidates)
+	})
+}
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -36,9 +36,9 @@
 			j.setPause(a)
 		}
 		switch {
-		case err == io.EOF && (j.split.Pending() > 0 || j.split.Events() == 0):
+		case errors.Is(err, io.EOF) && (j.split.Pending() > 0 || j.split.Events() == 0):
 			return result{verdict: broken, err: errCutEvent}
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return result{verdict: answered}
 		case err != nil && ctx.Err() != nil && j.r.Context().Err() != nil:
 			return result{verdict: callerLeft, err: err}
--- /dev/null
+++ b/jackdawd/internal/stories/writer_test.go
@@ -0,0 +1,91 @@
+package stories
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/jackdawd/internal/relay"
+	"jackdawhinge/jackdawd/internal/telemetry"
+	"jackdawhinge/jackdawd/internal/work"
+)
+
+func newLog() (*logrus.Logger, *bytes.Buffer) {
+	var out bytes.Buffer
+	l := logrus.New()
+	l.SetOutput(&out)
+	l.SetFormatter(&logrus.JSONFormatter{})
+	return l, &out
+}
+
+func story(id string, outcome relay.Outcome, at time.Time) *relay.Story {
+	return &relay.Story{
+		Request: id, Route: "sort", Kind: "streaming", Pool: "reader", Version: 7, Arrived: at, Outcome: outcome, Status: http.StatusOK,
+		Steps: []relay.Step{{Decision: relay.Placed, Upstream: "u1"}, {Decision: relay.Tried, Upstream: "u1", Verdict: "answered"}},
+	}
+}
+
+func TestOrdinaryAndOtherRequestsAreKeptApart(t *testing.T) {
+	usual, usualOut := newLog()
+	unusual, unusualOut := newLog()
+	w := NewWriter(usual, unusual, telemetry.NewMeter())
+	w.Ended(story("good", relay.Answered, time.Unix(1, 0)))
+	bad := story("bad", relay.Refused, time.Unix(1, 0))
+	bad.Refusal = work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "the upstream is full")
+	bad.Steps[1].Err = errors.New("oh")
+	w.Ended(bad)
+	require.Equal(t, 3, strings.Count(usualOut.String(), `"request":"good"`))
+	require.Equal(t, 3, strings.Count(unusualOut.String(), `"request":"bad"`))
+	require.Contains(t, unusualOut.String(), `"code":"overloaded"`)
+	require.Contains(t, unusualOut.String(), `"error":"oh"`)
+}
+
+// A crowd comes at ten times the usual rate. The log stays within its rate, and a
+// request that is written is written whole.
+func TestCrowdIsSampled(t *testing.T) {
+	usual, out := newLog()
+	w := NewWriter(usual, usual, telemetry.NewMeter())
+	for second := range 10 {
+		for i := range 200 {
+			w.Ended(story(fmt.Sprintf("%d-%d", second, i), relay.Answered, time.Unix(int64(second), 0)))
+		}
+	}
+	lines := strings.Count(out.String(), "\n")
+	require.Zero(t, lines%3)
+	require.Less(t, lines/3, 10*usualPerSecond*2)
+	require.Greater(t, lines/3, 10*usualPerSecond/2)
+}
+
+func BenchmarkStory(b *testing.B) {
+	for name, perSecond := range map[string]int{"usual": 15, "ten-times": 150} {
+		b.Run(name, func(b *testing.B) {
+			var out countingWriter
+			l := logrus.New()
+			l.SetOutput(&out)
+			l.SetFormatter(&logrus.JSONFormatter{})
+			w := NewWriter(l, l, telemetry.NewMeter())
+			n := 0
+			for b.Loop() {
+				n++
+				w.Ended(story(fmt.Sprint(n), relay.Answered, time.Unix(int64(n/perSecond), 0)))
+			}
+			b.ReportMetric(float64(out.bytes)/float64(n)*float64(perSecond), "bytes/s")
+		})
+	}
+}
+
+// countingWriter counts bytes.
+type countingWriter struct{ bytes int }
+
+// Write counts.
+func (c *countingWriter) Write(p []byte) (int, error) {
+	c.bytes += len(p)
+	return len(p), nil
+}
--- a/standin/internal/cmd/cmd.go
+++ b/standin/internal/cmd/cmd.go
@@ -40,6 +40,7 @@
 		Args:  cobra.ExactArgs(1),
 		RunE:  func(cmd *cobra.Command, args []string) error { return run(cmd.Context(), args[0]) },
 	})
+	root.AddCommand(newRunPlatformCmd())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := root.ExecuteContext(ctx); err != nil {
