--- a/common/traffic/configuration.go
+++ b/common/traffic/configuration.go
@@ -44,6 +44,7 @@
 	limits     Limits
 	workspaces map[string]Workspace
 	keyed      bool
+	document   []byte
 }
 
 // ConfigurationInput is what a configuration is made from.
@@ -54,12 +55,14 @@
 	Limits  Limits
 	// Keys gives the workspace of each key; nil means that no key is asked for.
 	Keys map[string]Workspace
+	// Document is what the configuration was decoded from.
+	Document []byte
 }
 
 // NewConfiguration returns a configuration.
 func NewConfiguration(in ConfigurationInput) *Configuration {
 	c := &Configuration{
-		version: in.Version, limits: in.Limits, workspaces: in.Keys, keyed: in.Keys != nil,
+		version: in.Version, limits: in.Limits, workspaces: in.Keys, keyed: in.Keys != nil, document: in.Document,
 		routes: map[string][]*Route{}, pools: map[string]Pool{},
 	}
 	for _, p := range in.Pools {
@@ -80,6 +83,10 @@
 // Version returns the version's number; later versions have higher ones.
 func (c *Configuration) Version() int64 { return c.version }
 
+// Document returns what the configuration was decoded from, to be passed on to
+// other hosts; it must not be changed.
+func (c *Configuration) Document() []byte { return c.document }
+
 // Limits returns the bounds on callers.
 func (c *Configuration) Limits() Limits { return c.limits }
 
--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -62,12 +62,16 @@
 	debug.SetGCPercent(collectAt)
 	store := platform.NewStore(s.Store)
 	meter.Family("store_calls", "answer", store.Answers)
-	host := entry.NewHost(entry.Options{
+	host, err := entry.NewHost(entry.Options{
 		Name: s.Host, Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain,
 		Protocol:       platform.Protocol{},
 		Configurations: platform.NewConfigurationFeed(store), Upstreams: platform.NewUpstreamFeed(store),
+		Peers: s.Peers, Board: platform.NewHostBoard(store), Decode: platform.DecodeConfiguration,
 		Bounds: bounds(s.Bounds), Meter: meter, Usual: usual, Unusual: logrus.StandardLogger(),
 	})
+	if err != nil {
+		return err
+	}
 	go func() { follow(ctx, hangups, s, store, host) }()
 	served := host.Start(ctx)
 	return errors.Join(served, host.Stop())
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -15,6 +15,17 @@
 	m.Gauge("requests_in_progress", h.handler.InProgress)
 	m.Gauge("upstream_connections_opened", h.client.Dialed)
 	m.Gauge("configuration_age_milliseconds", func() int64 { return min(h.keeper.Age(), time.Hour).Milliseconds() })
+	m.Gauge("fleet_bytes", h.source.Bytes)
+	m.Gauge("fleet_hosts", func() int64 {
+		hosts, _ := h.source.Directory().All()
+		return int64(len(hosts))
+	})
+	m.Gauge("reads_store", func() int64 {
+		if h.source.Following() == "" {
+			return 1
+		}
+		return 0
+	})
 	m.Gauge("ready", func() int64 {
 		if h.keeper.Ready() && !h.stopping.Load() {
 			return 1
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -11,7 +11,9 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/sirupsen/logrus"
 
+	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/exchange"
+	"jackdawhinge/jackdawd/internal/fleet"
 	"jackdawhinge/jackdawd/internal/membership"
 	"jackdawhinge/jackdawd/internal/placement"
 	"jackdawhinge/jackdawd/internal/relay"
@@ -50,10 +52,15 @@
 	Inner          string
 	FailureDomain  string
 	Protocol       Protocol
-	Configurations membership.Configurations
-	Upstreams      membership.Upstreams
-	Bounds         Bounds
-	Meter          *telemetry.Meter
+	Configurations fleet.StoreConfigurations
+	Upstreams      fleet.StoreUpstreams
+	// Peers is where other hosts reach this one, empty if they cannot; Board is where hosts write of themselves.
+	Peers string
+	Board fleet.Board
+	// Decode reads a configuration that another host passes on.
+	Decode func(document []byte) (*traffic.Configuration, error)
+	Bounds Bounds
+	Meter  *telemetry.Meter
 	// Usual and Unusual take the lines on ordinary requests and on all others.
 	Usual   *logrus.Logger
 	Unusual *logrus.Logger
@@ -75,6 +82,7 @@
 	options  Options
 	bounds   atomic.Pointer[Bounds]
 	budgets  *relay.Budgets
+	source   *fleet.Source
 	keeper   *membership.Keeper
 	client   *exchange.Client
 	loads    *placement.Loads
@@ -89,12 +97,20 @@
 }
 
 // NewHost returns a host that has begun to read the configuration.
-func NewHost(o Options) *Host {
+func NewHost(o Options) (*Host, error) {
 	h := &Host{options: o, loads: placement.NewLoads(), idle: newIdleConns(), failed: make(chan error, 1)}
 	h.bounds.Store(&o.Bounds)
+	h.source = fleet.NewSource(fleet.Options{
+		Name: o.Name, FailureDomain: o.FailureDomain, Address: o.Peers, Board: o.Board,
+		Configurations: o.Configurations, Upstreams: o.Upstreams, Loads: h.loads, Decode: o.Decode,
+	})
 	h.keeper = membership.NewKeeper(membership.Options{
-		Configurations: o.Configurations, Upstreams: o.Upstreams, Uptime: uptime, Bounds: o.Bounds.Bounds,
+		Configurations: h.source.Configurations(), Upstreams: h.source.Upstreams(), Uptime: uptime, Bounds: o.Bounds.Bounds,
 	})
+	if err := h.source.Start(h.keeper); err != nil {
+		h.keeper.Close()
+		return nil, err
+	}
 	h.client = exchange.NewClient(o.Protocol, nil)
 	h.budgets = relay.NewBudgets(o.Bounds.RetryRatio)
 	h.handler = relay.NewHandler(relay.Options{
@@ -119,7 +135,7 @@
 			}
 		}
 	}()
-	return h
+	return h, nil
 }
 
 // SetBounds puts other bounds into force.
@@ -212,7 +228,7 @@
 
 func (h *Host) close() error {
 	h.cancel()
-	errs := []error{h.callers.Close(), h.ready.Close()}
+	errs := []error{h.callers.Close(), h.ready.Close(), h.source.Close()}
 	if h.inner != nil {
 		errs = append(errs, h.inner.Close())
 	}
--- /dev/null
+++ b/jackdawd/internal/fleet/source.go
@@ -0,0 +1,385 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"jackdawhinge/common/pause"
+	"jackdawhinge/common/peers"
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/membership"
+	"jackdawhinge/jackdawd/internal/placement"
+)
+
+const (
+	// followWait is how long a follower's call waits for a change. It is part of the
+	// age of what the follower knows.
+	followWait = 400 * time.Millisecond
+	// followTimeout is how long beyond that an answer may take. A reader that is frozen
+	// or cut off is left after that, long before any bound is reached.
+	followTimeout = 300 * time.Millisecond
+	// readerPace is the part of the usual pace at which a reader reads the upstreams, so
+	// that a follower that has to leave it still learns of a change in time.
+	readerPace = 0.5
+	// readerWait bounds how long a reader's read of the configuration waits, for the same reason.
+	readerWait = time.Second
+	// directoryEvery is how often a reader reads the list of hosts.
+	directoryEvery = 3 * time.Second
+	// staleAfter is the age from which a reader has lost the store itself: two reads and
+	// what they may take.
+	staleAfter = 3 * time.Second
+	// farewellTimeout is how long a stopping host tries to remove its notice.
+	farewellTimeout = 300 * time.Millisecond
+	secretBytes     = 16
+	queuedChanges   = 64
+)
+
+// A Board is where hosts write of themselves.
+type Board interface {
+	Put(ctx context.Context, host string, notice []byte) error
+	Next(ctx context.Context) (notices map[string][]byte, whole bool, err error)
+}
+
+// A LoadTable holds what upstreams told of their loads.
+type LoadTable interface {
+	// Newest returns what was told lately, by any host.
+	Newest(now time.Time) []placement.Told
+	// Merge takes in what other hosts were told.
+	Merge(told []placement.Told)
+}
+
+// StoreConfigurations and StoreUpstreams read the store.
+type (
+	StoreConfigurations interface {
+		Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, error)
+	}
+	StoreUpstreams interface {
+		Next(ctx context.Context) (traffic.UpstreamChange, error)
+	}
+)
+
+// Options are the parts that a source is made of.
+type Options struct {
+	Name          string
+	FailureDomain string
+	// Address is where other hosts reach this one; empty if they cannot.
+	Address        string
+	Board          Board
+	Configurations StoreConfigurations
+	Upstreams      StoreUpstreams
+	Loads          LoadTable
+	// Decode reads a configuration that another host passes on.
+	Decode func(document []byte) (*traffic.Configuration, error)
+}
+
+// A Source is where a host learns of configuration and upstreams: from the store, or
+// from a host that reads it.
+type Source struct {
+	options   Options
+	directory *Directory
+	server    *peers.Server
+	mu        sync.Mutex
+	clients   map[string]*peers.Client
+	// following is the reader that is followed; empty while the store is read.
+	following atomic.Pointer[Peer]
+	position  membership.Position
+	version   int64
+	changes   chan traffic.UpstreamChange
+	listedAt  time.Time
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+}
+
+// NewSource returns a source; Start makes it known to other hosts.
+func NewSource(o Options) *Source {
+	secret := make([]byte, secretBytes)
+	// Reading from crypto/rand never fails.
+	_, _ = rand.Read(secret)
+	self := Peer{Name: o.Name, Notice: Notice{Address: o.Address, FailureDomain: o.FailureDomain, Secret: hex.EncodeToString(secret)}}
+	return &Source{
+		options: o, directory: NewDirectory(self), clients: map[string]*peers.Client{},
+		changes: make(chan traffic.UpstreamChange, queuedChanges),
+	}
+}
+
+// Start answers followers by what the beliefs hold, and begins to follow the list of hosts.
+func (s *Source) Start(beliefs Beliefs) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	if s.options.Address == "" {
+		return nil
+	}
+	answering := &service{beliefs: beliefs, directory: s.directory, loads: s.options.Loads}
+	server, err := peers.NewServer(s.options.Address, []string{s.directory.Self().Secret}, map[string]any{serviceName: answering})
+	if err != nil {
+		return fmt.Errorf("answer followers: %w", err)
+	}
+	s.server = server
+	s.done.Go(func() {
+		if err := server.Start(ctx); err != nil {
+			logrus.WithError(err).Error("fleet: Followers are no longer answered.")
+		}
+	})
+	s.done.Go(func() { s.followDirectory(ctx) })
+	return nil
+}
+
+// Close removes this host's notice and stops.
+func (s *Source) Close() error {
+	s.cancel()
+	if s.server == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), farewellTimeout)
+	defer cancel()
+	err := errors.Join(s.options.Board.Put(ctx, s.directory.Self().Name, nil), s.server.Stop(ctx))
+	s.mu.Lock()
+	for _, c := range s.clients {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+	return err
+}
+
+// Directory returns the hosts that are known.
+func (s *Source) Directory() *Directory { return s.directory }
+
+// Following returns the reader that is followed, or "" while the store is read.
+func (s *Source) Following() string {
+	if p := s.following.Load(); p != nil {
+		return p.Name
+	}
+	return ""
+}
+
+// Bytes returns how many bytes the exchanges with other hosts have carried both ways.
+func (s *Source) Bytes() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var n int64
+	for _, c := range s.clients {
+		n += c.Bytes()
+	}
+	if s.server != nil {
+		n += s.server.Bytes()
+	}
+	return n
+}
+
+// followDirectory writes this host's notice and reads those of others while this host is a reader.
+func (s *Source) followDirectory(ctx context.Context) {
+	missing := true
+	for ctx.Err() == nil {
+		if missing {
+			s.announce(ctx)
+		}
+		if _, reader := s.directory.Readers(time.Now()); reader || missing {
+			notices, whole, err := s.options.Board.Next(ctx)
+			if err == nil {
+				missing = s.directory.Take(notices, whole)
+			}
+			// A failure shows in the reads of the configuration, and there it is told.
+		}
+		pause.For(ctx, directoryEvery)
+	}
+}
+
+func (s *Source) announce(ctx context.Context) {
+	notice, err := json.Marshal(s.directory.Self().Notice)
+	if err != nil {
+		// Texts always encode.
+		panic(err)
+	}
+	if err := s.options.Board.Put(ctx, s.directory.Self().Name, notice); err != nil {
+		logrus.WithError(err).Warn("fleet: This host's notice was not written. It is tried again.")
+	}
+}
+
+// Configurations returns the source as one of configurations.
+func (s *Source) Configurations() membership.Configurations { return configurations{s} }
+
+// Upstreams returns the source as one of upstreams.
+func (s *Source) Upstreams() membership.Upstreams { return upstreams{s} }
+
+type configurations struct{ *Source }
+
+// Next asks a reader if there is one to follow, else the store.
+func (c configurations) Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, time.Duration, error) {
+	readers, self := c.directory.Readers(time.Now())
+	if !self && c.options.Address != "" {
+		for _, reader := range readers {
+			next, behind, err := c.follow(ctx, reader)
+			if err == nil {
+				return next, behind, nil
+			}
+			if ctx.Err() != nil {
+				return nil, 0, ctx.Err()
+			}
+			c.leave(ctx, reader, err)
+			// Asking one after the other could take longer than the bounds allow.
+			wait = 0
+			break
+		}
+	}
+	c.setFollowing(nil)
+	next, err := c.options.Configurations.Next(ctx, min(wait, readerWait))
+	if next != nil {
+		c.version = max(c.version, next.Version())
+	}
+	return next, 0, err
+}
+
+// follow makes one call to a reader.
+func (c configurations) follow(ctx context.Context, reader Peer) (*traffic.Configuration, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
+	defer cancel()
+	now := time.Now()
+	args := FollowArgs{
+		Host: c.directory.Self().Name, Version: c.version, Position: c.position, Hosts: c.directory.Version(), Wait: followWait,
+		Loads: packLoads(now, c.options.Loads.Newest(now)),
+	}
+	if c.Following() != reader.Name {
+		// Positions are those of one host; and the first answer should come at once.
+		args.Position, args.Wait = membership.Position{}, 0
+	}
+	var reply FollowReply
+	if err := c.client(reader).Call(ctx, reader.Address, followCall, &args, &reply); err != nil {
+		return nil, 0, err
+	}
+	if reply.Behind > staleAfter {
+		return nil, 0, &StaleError{Reader: reader.Name, Behind: reply.Behind}
+	}
+	return c.take(reader, reply)
+}
+
+// take takes in a reader's answer.
+func (c configurations) take(reader Peer, reply FollowReply) (*traffic.Configuration, time.Duration, error) {
+	var next *traffic.Configuration
+	if len(reply.Document) > 0 {
+		var err error
+		if next, err = c.options.Decode(reply.Document); err != nil {
+			return nil, 0, err
+		}
+	}
+	if reply.Whole || len(reply.Entries) > 0 {
+		select {
+		case c.changes <- traffic.UpstreamChange{Whole: reply.Whole, Entries: reply.Entries}:
+		default:
+			// Changes are not taken in; without this one the later ones would be wrong.
+			return nil, 0, errBehind
+		}
+	}
+	if next != nil {
+		c.version = max(c.version, next.Version())
+	}
+	c.position = reply.Position
+	if len(reply.Hosts) > 0 {
+		c.directory.Replace(reply.Hosts)
+	}
+	c.options.Loads.Merge(reply.Loads.unpack(time.Now()))
+	c.directory.Trust(reader.Name)
+	c.setFollowing(&reader)
+	return next, reply.Behind, nil
+}
+
+// errBehind says that this host has not taken in what it was told before.
+var errBehind = errors.New("earlier changes are not taken in yet")
+
+// A StaleError says that a reader has lost the store itself.
+type StaleError struct {
+	Reader string
+	Behind time.Duration
+}
+
+// Error returns the reader and its age.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("reader %s is %s behind", e.Reader, e.Behind.Round(time.Millisecond))
+}
+
+// leave gives a reader up for a while.
+func (s *Source) leave(ctx context.Context, reader Peer, err error) {
+	logrus.WithError(err).WithField("peer", reader.Name).Info("fleet: The reader is left.")
+	if s.directory.Suspect(time.Now(), reader.Name) {
+		if err := s.options.Board.Put(ctx, reader.Name, nil); err != nil {
+			logrus.WithError(err).WithField("peer", reader.Name).Warn("fleet: The notice of a host that is gone was not removed.")
+		}
+	}
+}
+
+func (s *Source) setFollowing(p *Peer) {
+	old := s.following.Swap(p)
+	switch {
+	case p == nil && old != nil:
+		logrus.WithField("peer", old.Name).Info("fleet: The store is read here.")
+	case p != nil && (old == nil || old.Name != p.Name):
+		logrus.WithField("peer", p.Name).Info("fleet: A reader is followed.")
+	}
+}
+
+func (s *Source) client(p Peer) *peers.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := p.Address + p.Secret
+	c, ok := s.clients[key]
+	if !ok {
+		c = peers.NewClient(p.Secret)
+		s.clients[key] = c
+	}
+	return c
+}
+
+type upstreams struct{ *Source }
+
+// Next returns what a reader told; while there is none it reads the store at the pace given.
+func (u upstreams) Next(ctx context.Context, pace time.Duration) (traffic.UpstreamChange, error) {
+	if u.following.Load() == nil {
+		return u.read(ctx, pace)
+	}
+	timer := time.NewTimer(pace)
+	defer timer.Stop()
+	select {
+	case change := <-u.changes:
+		return change, nil
+	case <-timer.C:
+		return traffic.UpstreamChange{}, nil
+	case <-ctx.Done():
+		return traffic.UpstreamChange{}, ctx.Err()
+	}
+}
+
+// read reads the store, not sooner than the pace allows.
+func (u upstreams) read(ctx context.Context, pace time.Duration) (traffic.UpstreamChange, error) {
+	if _, self := u.directory.Readers(time.Now()); self {
+		pace = time.Duration(readerPace * float64(pace))
+	}
+	if wait := pace - time.Since(u.listedAt); !u.listedAt.IsZero() && wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case change := <-u.changes:
+			// It was told just before the store is read again.
+			return change, nil
+		case <-timer.C:
+		case <-ctx.Done():
+			return traffic.UpstreamChange{}, ctx.Err()
+		}
+	}
+	if u.following.Load() != nil {
+		return traffic.UpstreamChange{}, nil
+	}
+	change, err := u.options.Upstreams.Next(ctx)
+	if err == nil {
+		u.listedAt = time.Now()
+	}
+	return change, err
+}
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -45,12 +45,16 @@
 
 // Configurations is where the configuration comes from.
 type Configurations interface {
-	Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, error)
+	// Next returns a newer configuration, or nil if there is none; it waits for one as
+	// long as wait says. What was in force is known up to so long before the call
+	// as behind says.
+	Next(ctx context.Context, wait time.Duration) (c *traffic.Configuration, behind time.Duration, err error)
 }
 
 // Upstreams is where the list of upstreams comes from.
 type Upstreams interface {
-	Next(ctx context.Context) (traffic.UpstreamChange, error)
+	// Next returns what has changed; it waits for a change no longer than pace.
+	Next(ctx context.Context, pace time.Duration) (traffic.UpstreamChange, error)
 }
 
 // Options are the parts that a keeper is made of.
@@ -76,10 +80,11 @@
 	bounds   atomic.Pointer[Bounds]
 	snapshot atomic.Pointer[Snapshot]
 	// heard is when the last read of the configuration that was answered had been sent.
-	heard  atomic.Int64
-	inputs chan func(*beliefs)
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	heard   atomic.Int64
+	changes atomic.Pointer[Changes]
+	inputs  chan func(*beliefs)
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 }
 
 // beliefs is what only the control goroutine touches.
@@ -92,6 +97,7 @@
 	lapsing  map[string]time.Time
 	evidence *control.Evidence
 	avoided  map[string]bool
+	log      changeLog
 }
 
 // never stands for a read that was not yet answered.
@@ -103,7 +109,7 @@
 	k := &Keeper{options: o, inputs: make(chan func(*beliefs), inputBuffer), cancel: cancel}
 	k.heard.Store(never)
 	k.SetBounds(o.Bounds)
-	b := &beliefs{listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, sequences: map[string]int64{}, evidence: control.NewEvidence()}
+	b := &beliefs{log: newChangeLog(), listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, sequences: map[string]int64{}, evidence: control.NewEvidence()}
 	k.publish(b)
 	k.done.Go(func() { k.run(ctx, b) })
 	k.done.Go(func() { k.followConfiguration(ctx) })
@@ -164,7 +170,7 @@
 	select {
 	case k.inputs <- func(b *beliefs) {
 		if _, ok := b.listed[id]; ok {
-			delete(b.listed, id)
+			b.remove(id)
 			logrus.WithField("upstream", id).Info("membership: Another upstream has the address. This one is gone.")
 			k.publish(b)
 		}
@@ -234,15 +240,22 @@
 	}
 	b.avoided = avoided
 	k.snapshot.Store(newSnapshot(b.configuration, b.listed, avoided))
+	old := k.changes.Swap(b.log.changes(b.configuration, b.listed))
+	if old != nil {
+		close(old.superseded)
+	}
 }
 
+// Changes returns what other hosts may learn from this one.
+func (k *Keeper) Changes() *Changes { return k.changes.Load() }
+
 // followConfiguration reads the configuration until the context ends.
 func (k *Keeper) followConfiguration(ctx context.Context) {
 	wait := time.Duration(0)
 	away := false
 	for ctx.Err() == nil {
 		sent := k.options.Uptime()
-		c, err := k.options.Configurations.Next(ctx, wait)
+		c, behind, err := k.options.Configurations.Next(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -259,17 +272,25 @@
 		}
 		away, wait = false, k.wait()
 		if c == nil {
-			k.heard.Store(int64(sent))
+			k.hear(sent - behind)
 			continue
 		}
 		k.tell(ctx, func(b *beliefs) {
 			k.takeConfiguration(b, c)
 			// Only now is what was read in force here.
-			k.heard.Store(int64(sent))
+			k.hear(sent - behind)
 		})
 	}
 }
 
+// hear notes the moment up to which the configuration is known.
+func (k *Keeper) hear(at time.Duration) {
+	// Another host may be further behind than what was read here before.
+	if int64(at) > k.heard.Load() {
+		k.heard.Store(int64(at))
+	}
+}
+
 func (k *Keeper) takeConfiguration(b *beliefs, c *traffic.Configuration) {
 	if b.configuration != nil && c.Version() <= b.configuration.Version() {
 		// The store may return the newest record again; an older one never comes
@@ -286,7 +307,7 @@
 	var returned time.Time
 	away := false
 	for ctx.Err() == nil {
-		change, err := k.options.Upstreams.Next(ctx)
+		change, err := k.options.Upstreams.Next(ctx, time.Duration(listShare*float64(k.bounds.Load().Drain)))
 		if ctx.Err() != nil {
 			return
 		}
@@ -304,7 +325,6 @@
 		}
 		giveUpAt := returned.Add(lapseGrace)
 		k.tell(ctx, func(b *beliefs) { k.takeUpstreams(b, change, giveUpAt) })
-		pause.For(ctx, time.Duration(listShare*float64(k.bounds.Load().Drain)))
 	}
 }
 
@@ -334,6 +354,12 @@
 	}
 }
 
+// remove drops an upstream.
+func (b *beliefs) remove(id string) {
+	delete(b.listed, id)
+	b.log.add(traffic.Gone(id))
+}
+
 // list takes in an upstream's entry and reports whether it says anything new.
 func (b *beliefs) list(u traffic.Upstream) bool {
 	if u.Sequence < b.sequences[u.ID] {
@@ -353,6 +379,7 @@
 	if known && reflect.DeepEqual(old, u) {
 		return false
 	}
+	b.log.add(traffic.Listed(u))
 	logrus.WithFields(logrus.Fields{"upstream": u.ID, "pool": u.Pool, "state": u.State}).Info("membership: An upstream's entry changed.")
 	return true
 }
@@ -365,7 +392,7 @@
 			continue
 		}
 		delete(b.lapsing, id)
-		delete(b.listed, id)
+		b.remove(id)
 		changed = true
 		logrus.WithField("upstream", id).Info("membership: An upstream is gone.")
 	}
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/routing"
 )
 
 // toldLifetime is how long what an upstream told of its load says something of
@@ -13,8 +14,22 @@
 
 // Loads holds how many requests each upstream works on, as far as this host knows.
 type Loads struct {
-	mu   sync.Mutex
-	byID map[string]*load
+	mu     sync.Mutex
+	byHash map[uint32]*load
+}
+
+// Told is what an upstream said of its requests, here or at another host.
+type Told struct {
+	// Upstream is the lower half of the hash of its identifier.
+	Upstream uint32
+	Requests int
+	At       time.Time
+}
+
+// hashOf returns by what hosts name an upstream to each other. Of 880 upstreams two
+// have the same one in one of 10,000 fleets, and then count as one.
+func hashOf(id string) uint32 {
+	return uint32(routing.HashOf(id))
 }
 
 // load is one upstream's: this host's own requests, and what other hosts had
@@ -22,20 +37,21 @@
 type load struct {
 	own    int
 	others float64
+	told   int
 	toldAt time.Time
 	usedAt time.Time
 }
 
 // NewLoads returns loads of nothing.
 func NewLoads() *Loads {
-	return &Loads{byID: map[string]*load{}}
+	return &Loads{byHash: map[uint32]*load{}}
 }
 
 // Begin counts a request of this host.
 func (l *Loads) Begin(now time.Time, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entry(now, id)
+	e := l.entry(now, hashOf(id))
 	e.own++
 }
 
@@ -43,7 +59,7 @@
 func (l *Loads) End(now time.Time, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entry(now, id)
+	e := l.entry(now, hashOf(id))
 	e.own--
 }
 
@@ -51,16 +67,44 @@
 func (l *Loads) Told(now time.Time, id string, told traffic.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entry(now, id)
-	e.others = max(0, float64(told.Running+told.Waiting-e.own))
-	e.toldAt = now
+	l.entry(now, hashOf(id)).take(Told{Requests: told.Running + told.Waiting, At: now})
+}
+
+// take takes in what an upstream told.
+func (e *load) take(t Told) {
+	e.others = max(0, float64(t.Requests-e.own))
+	e.told, e.toldAt = t.Requests, t.At
+}
+
+// Merge takes in what upstreams told other hosts, where it is newer.
+func (l *Loads) Merge(told []Told) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range told {
+		if e := l.entry(t.At, t.Upstream); t.At.After(e.toldAt) {
+			e.take(t)
+		}
+	}
+}
+
+// Newest returns what upstreams told lately.
+func (l *Loads) Newest(now time.Time) []Told {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Told
+	for hash, e := range l.byHash {
+		if now.Sub(e.toldAt) < toldLifetime {
+			out = append(out, Told{Upstream: hash, Requests: e.told, At: e.toldAt})
+		}
+	}
+	return out
 }
 
 // Own returns how many requests of this host an upstream has.
 func (l *Loads) Own(id string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e, ok := l.byID[id]; ok {
+	if e, ok := l.byHash[hashOf(id)]; ok {
 		return e.own
 	}
 	return 0
@@ -85,7 +129,7 @@
 }
 
 func (l *Loads) estimate(now time.Time, id string) float64 {
-	e, ok := l.byID[id]
+	e, ok := l.byHash[hashOf(id)]
 	if !ok {
 		return 0
 	}
@@ -99,9 +143,9 @@
 func (l *Loads) Forget(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, e := range l.byID {
+	for hash, e := range l.byHash {
 		if e.own == 0 && now.Sub(e.usedAt) > unusedLifetime {
-			delete(l.byID, id)
+			delete(l.byHash, hash)
 		}
 	}
 }
@@ -109,11 +153,11 @@
 // unusedLifetime is how long an upstream that gets no requests is remembered.
 const unusedLifetime = time.Minute
 
-func (l *Loads) entry(now time.Time, id string) *load {
-	e, ok := l.byID[id]
+func (l *Loads) entry(now time.Time, hash uint32) *load {
+	e, ok := l.byHash[hash]
 	if !ok {
 		e = &load{}
-		l.byID[id] = e
+		l.byHash[hash] = e
 	}
 	e.usedAt = now
 	return e
