--- a/common/traffic/upstream.go
+++ b/common/traffic/upstream.go
@@ -1,5 +1,7 @@
 package traffic
 
+import "github.com/cespare/xxhash/v2"
+
 // A State is what an upstream says of itself.
 type State string
 
@@ -12,7 +14,9 @@
 // An Upstream is one incarnation of a model engine or plain service. After a
 // restart it is another upstream, perhaps at the same address.
 type Upstream struct {
-	ID            string
+	ID string
+	// Hash is HashOf the identifier.
+	Hash          uint64
 	Pool          string
 	Address       string
 	FailureDomain string
@@ -25,6 +29,9 @@
 	Models []string
 }
 
+// HashOf returns the hash by which an upstream of an identifier is ranked and named between hosts.
+func HashOf(id string) uint64 { return xxhash.Sum64String(id) }
+
 // Serves reports whether the upstream can answer requests for a model; an empty name is any model.
 func (u *Upstream) Serves(model string) bool {
 	if model == "" || len(u.Models) == 0 {
@@ -56,7 +63,10 @@
 }
 
 // Listed returns the entry of an upstream that is listed.
-func Listed(u Upstream) UpstreamEntry { return UpstreamEntry{ID: u.ID, Upstream: &u} }
+func Listed(u Upstream) UpstreamEntry {
+	u.Hash = HashOf(u.ID)
+	return UpstreamEntry{ID: u.ID, Upstream: &u}
+}
 
 // Gone returns the entry of an upstream that is no longer listed.
 func Gone(id string) UpstreamEntry { return UpstreamEntry{ID: id} }
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -72,7 +72,7 @@
 	others, rest := int64(0), 0
 	for _, pool := range h.keeper.Snapshot().Pools() {
 		for _, u := range pool {
-			load := int64(h.loads.Estimate(time.Now(), u.ID))
+			load := int64(h.loads.Estimate(time.Now(), u))
 			if len(requests) < mostUpstreams {
 				requests[u.ID] = load
 				continue
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -25,8 +25,10 @@
 	Hosts uint64
 	// Wait is how long to wait for a change.
 	Wait time.Duration
-	// Loads are what upstreams have told the follower since its last call.
+	// Loads are what upstreams have told the follower itself since its last call, which
+	// was so long ago as Since says.
 	Loads Loads
+	Since time.Duration
 }
 
 // FollowReply is what a follower has missed.
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -6,8 +6,17 @@
 	"jackdawhinge/jackdawd/internal/membership"
 )
 
-// mostWait bounds how long a follower may have its call held.
-const mostWait = time.Second
+const (
+	// mostWait bounds how long a follower may have its call held.
+	mostWait = time.Second
+	// mostLoads bounds the loads of one answer to 1.4 KB, or 3.4 KB/s for a follower.
+	mostLoads = 230
+	// overlap is added to the time since a follower's last call, so that what was told
+	// while that call was answered is not missed.
+	overlap = 100 * time.Millisecond
+	// mostSince is how old a load may be to say something.
+	mostSince = 2 * time.Second
+)
 
 // Beliefs is what a host knows.
 type Beliefs interface {
@@ -58,6 +67,6 @@
 		reply.Hosts = hosts
 	}
 	now := time.Now()
-	reply.Loads = packLoads(now, s.loads.Newest(now))
+	reply.Loads = packLoads(now, s.loads.Newest(now, min(args.Since, mostSince)+overlap, mostLoads))
 	reply.Behind = s.beliefs.Age()
 }
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -51,8 +51,10 @@
 
 // A LoadTable holds what upstreams told of their loads.
 type LoadTable interface {
-	// Newest returns what was told lately, by any host.
-	Newest(now time.Time) []placement.Told
+	// TakeOwn returns what this host itself was told since the last call.
+	TakeOwn() []placement.Told
+	// Newest returns what any host was told within a time, the most loaded upstreams first if there are more.
+	Newest(now time.Time, within time.Duration, most int) []placement.Told
 	// Merge takes in what other hosts were told.
 	Merge(told []placement.Told)
 }
@@ -93,6 +95,7 @@
 	following atomic.Pointer[Peer]
 	position  membership.Position
 	version   int64
+	calledAt  time.Time
 	changes   chan traffic.UpstreamChange
 	listedAt  time.Time
 	cancel    context.CancelFunc
@@ -246,8 +249,9 @@
 	now := time.Now()
 	args := FollowArgs{
 		Host: c.directory.Self().Name, Version: c.version, Position: c.position, Hosts: c.directory.Version(), Wait: followWait,
-		Loads: packLoads(now, c.options.Loads.Newest(now)),
+		Loads: packLoads(now, c.options.Loads.TakeOwn()), Since: now.Sub(c.calledAt),
 	}
+	c.calledAt = now
 	if c.Following() != reader.Name {
 		// Positions are those of one host; and the first answer should come at once.
 		args.Position, args.Wait = membership.Position{}, 0
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -52,12 +52,20 @@
 // requests of a prompt meet at one engine.
 func (c Choice) warmest() *traffic.Upstream {
 	bound := c.bound()
-	for _, i := range rank(c.Key, c.Upstreams) {
-		if c.Loads[i]+1 <= bound {
-			return c.Upstreams[i]
+	var first *traffic.Upstream
+	var highest uint64
+	for i, u := range c.Upstreams {
+		if c.Loads[i]+1 > bound {
+			continue
+		}
+		if score := routing.Score(c.Key, u.Hash); first == nil || score > highest {
+			first, highest = u, score
 		}
 	}
-	return c.lightest()
+	if first == nil {
+		return c.lightest()
+	}
+	return first
 }
 
 // Rank returns upstreams in a prompt's own order, the one where it is usually cached first.
@@ -74,7 +82,7 @@
 	order := make([]int, len(upstreams))
 	scores := make([]uint64, len(upstreams))
 	for i, u := range upstreams {
-		order[i], scores[i] = i, routing.Score(key, routing.HashOf(u.ID))
+		order[i], scores[i] = i, routing.Score(key, u.Hash)
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
 	return order
@@ -103,7 +111,7 @@
 		if u.FailureDomain != c.FailureDomain {
 			cost += farCost
 		}
-		tie := routing.Score(c.Tie, routing.HashOf(u.ID))
+		tie := routing.Score(c.Tie, u.Hash)
 		if best == nil || cost < bestCost || (cost == bestCost && tie > bestTie) {
 			best, bestCost, bestTie = u, cost, tie
 		}
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -1,11 +1,12 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"jackdawhinge/common/traffic"
-	"jackdawhinge/jackdawd/internal/routing"
 )
 
 // toldLifetime is how long what an upstream told of its load says something of
@@ -26,10 +27,10 @@
 	At       time.Time
 }
 
-// hashOf returns by what hosts name an upstream to each other. Of 880 upstreams two
-// have the same one in one of 10,000 fleets, and then count as one.
-func hashOf(id string) uint32 {
-	return uint32(routing.HashOf(id))
+// shortHash returns by what hosts name an upstream to each other. Of 880 upstreams
+// two have the same one in one of 10,000 fleets, and then count as one.
+func shortHash(u *traffic.Upstream) uint32 {
+	return uint32(u.Hash)
 }
 
 // load is one upstream's: this host's own requests, and what other hosts had
@@ -39,7 +40,9 @@
 	others float64
 	told   int
 	toldAt time.Time
-	usedAt time.Time
+	// toldHere is set while what was told is this host's own and not yet passed on.
+	toldHere bool
+	usedAt   time.Time
 }
 
 // NewLoads returns loads of nothing.
@@ -48,32 +51,34 @@
 }
 
 // Begin counts a request of this host.
-func (l *Loads) Begin(now time.Time, id string) {
+func (l *Loads) Begin(now time.Time, u *traffic.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entry(now, hashOf(id))
+	e := l.entry(now, shortHash(u))
 	e.own++
 }
 
 // End counts a request of this host no longer.
-func (l *Loads) End(now time.Time, id string) {
+func (l *Loads) End(now time.Time, u *traffic.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entry(now, hashOf(id))
+	e := l.entry(now, shortHash(u))
 	e.own--
 }
 
 // Told takes in what an upstream said in an answer to this host.
-func (l *Loads) Told(now time.Time, id string, told traffic.Load) {
+func (l *Loads) Told(now time.Time, u *traffic.Upstream, told traffic.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entry(now, hashOf(id)).take(Told{Requests: told.Running + told.Waiting, At: now})
+	e := l.entry(now, shortHash(u))
+	e.take(Told{Requests: told.Running + told.Waiting, At: now})
+	e.toldHere = true
 }
 
 // take takes in what an upstream told.
 func (e *load) take(t Told) {
 	e.others = max(0, float64(t.Requests-e.own))
-	e.told, e.toldAt = t.Requests, t.At
+	e.told, e.toldAt, e.toldHere = t.Requests, t.At, false
 }
 
 // Merge takes in what upstreams told other hosts, where it is newer.
@@ -87,34 +92,54 @@
 	}
 }
 
-// Newest returns what upstreams told lately.
-func (l *Loads) Newest(now time.Time) []Told {
+// TakeOwn returns what upstreams told this host itself since the last call.
+func (l *Loads) TakeOwn() []Told {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []Told
 	for hash, e := range l.byHash {
-		if now.Sub(e.toldAt) < toldLifetime {
+		if e.toldHere {
 			out = append(out, Told{Upstream: hash, Requests: e.told, At: e.toldAt})
+			e.toldHere = false
 		}
 	}
 	return out
 }
 
+// Newest returns what upstreams told any host within a time, the most loaded ones
+// if there are more than the most given: a full upstream that is taken for empty
+// does more harm than the reverse.
+func (l *Loads) Newest(now time.Time, within time.Duration, most int) []Told {
+	l.mu.Lock()
+	var out []Told
+	for hash, e := range l.byHash {
+		if now.Sub(e.toldAt) < within {
+			out = append(out, Told{Upstream: hash, Requests: e.told, At: e.toldAt})
+		}
+	}
+	l.mu.Unlock()
+	if len(out) > most {
+		slices.SortFunc(out, func(a, b Told) int { return cmp.Compare(b.Requests, a.Requests) })
+		out = out[:most]
+	}
+	return out
+}
+
 // Own returns how many requests of this host an upstream has.
-func (l *Loads) Own(id string) int {
+func (l *Loads) Own(u *traffic.Upstream) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e, ok := l.byHash[hashOf(id)]; ok {
+	if e, ok := l.byHash[shortHash(u)]; ok {
 		return e.own
 	}
 	return 0
 }
 
 // Estimate returns how many requests an upstream is thought to have.
-func (l *Loads) Estimate(now time.Time, id string) float64 {
+func (l *Loads) Estimate(now time.Time, u *traffic.Upstream) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.estimate(now, id)
+	return l.estimate(now, u)
 }
 
 // All returns the estimates of several upstreams.
@@ -123,13 +148,13 @@
 	defer l.mu.Unlock()
 	out := make([]float64, len(upstreams))
 	for i, u := range upstreams {
-		out[i] = l.estimate(now, u.ID)
+		out[i] = l.estimate(now, u)
 	}
 	return out
 }
 
-func (l *Loads) estimate(now time.Time, id string) float64 {
-	e, ok := l.byHash[hashOf(id)]
+func (l *Loads) estimate(now time.Time, u *traffic.Upstream) float64 {
+	e, ok := l.byHash[shortHash(u)]
 	if !ok {
 		return 0
 	}
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -144,7 +144,7 @@
 	}
 	j.fetchFrom = j.source(upstream)
 	placed := Step{Decision: Placed, Upstream: upstream.ID, Candidates: len(fit), Avoided: spokenAgainst, Mean: choice.Mean()}
-	placed.Load = j.Loads.Estimate(time.Now(), upstream.ID)
+	placed.Load = j.Loads.Estimate(time.Now(), upstream)
 	if j.fetchFrom != nil {
 		placed.FetchFrom = j.fetchFrom.ID
 	}
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -42,8 +42,8 @@
 // try sends the request to an upstream and its answer to the caller.
 func (j *job) try(ctx context.Context, u *traffic.Upstream) result {
 	j.tried = append(j.tried, u.ID)
-	j.Loads.Begin(time.Now(), u.ID)
-	defer func() { j.Loads.End(time.Now(), u.ID) }()
+	j.Loads.Begin(time.Now(), u)
+	defer func() { j.Loads.End(time.Now(), u) }()
 	call := j.call(u)
 	answer, err := j.Client.Do(ctx, call)
 	if err != nil {
@@ -53,7 +53,7 @@
 	j.sent++
 	head := answer.Head()
 	if head.Load != nil {
-		j.Loads.Told(time.Now(), u.ID, *head.Load)
+		j.Loads.Told(time.Now(), u, *head.Load)
 	}
 	switch {
 	case head.OtherUpstream:
