--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -59,15 +59,15 @@
 	Merge(told []placement.Told)
 }
 
-// StoreConfigurations and StoreUpstreams read the store.
-type (
-	StoreConfigurations interface {
-		Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, error)
-	}
-	StoreUpstreams interface {
-		Next(ctx context.Context) (traffic.UpstreamChange, error)
-	}
-)
+// StoreConfigurations reads the configuration from the store.
+type StoreConfigurations interface {
+	Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, error)
+}
+
+// StoreUpstreams reads the upstreams from the store.
+type StoreUpstreams interface {
+	Next(ctx context.Context) (traffic.UpstreamChange, error)
+}
 
 // Options are the parts that a source is made of.
 type Options struct {
@@ -219,20 +219,18 @@
 // Next asks a reader if there is one to follow, else the store.
 func (c configurations) Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, time.Duration, error) {
 	readers, self := c.directory.Readers(time.Now())
-	if !self && c.options.Address != "" {
-		for _, reader := range readers {
-			next, behind, err := c.follow(ctx, reader)
-			if err == nil {
-				return next, behind, nil
-			}
-			if ctx.Err() != nil {
-				return nil, 0, ctx.Err()
-			}
-			c.leave(ctx, reader, err)
-			// Asking one after the other could take longer than the bounds allow.
-			wait = 0
-			break
+	if !self && len(readers) > 0 && c.options.Address != "" {
+		next, behind, err := c.follow(ctx, readers[0])
+		if err == nil {
+			return next, behind, nil
+		}
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
 		}
+		c.leave(ctx, readers[0], err)
+		// Asking one reader after the other could take longer than the bounds allow,
+		// so the store is next, at once.
+		wait = 0
 	}
 	c.setFollowing(nil)
 	next, err := c.options.Configurations.Next(ctx, min(wait, readerWait))
