--- a/common/traffic/request.go
+++ b/common/traffic/request.go
@@ -73,8 +73,8 @@
 	ID string
 	// NotRun is the upstream's word that it did not execute the request and never will.
 	NotRun bool
-	// OtherUpstream is set if another upstream than the one meant has the address.
-	OtherUpstream bool
+	// Upstream is the incarnation that answers, where the answer names it.
+	Upstream string
 	// Sealed answers carry the upstream's signature; a success without one is none.
 	Sealed bool
 	// Events reports whether the body is a stream of events.
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -102,7 +102,7 @@
 	h.bounds.Store(&o.Bounds)
 	h.source = fleet.NewSource(fleet.Options{
 		Name: o.Name, FailureDomain: o.FailureDomain, Address: o.Peers, Board: o.Board,
-		Configurations: o.Configurations, Upstreams: o.Upstreams, Loads: h.loads, Decode: o.Decode,
+		Configurations: o.Configurations, Upstreams: o.Upstreams, Loads: h.loads, Uptime: uptime, Decode: o.Decode,
 	})
 	h.keeper = membership.NewKeeper(membership.Options{
 		Configurations: h.source.Configurations(), Upstreams: h.source.Upstreams(), Uptime: uptime, Bounds: o.Bounds.Bounds,
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -35,6 +35,8 @@
 type FollowReply struct {
 	// Behind is how old the reader's configuration may have been when it replied.
 	Behind time.Duration
+	// ListBehind is how old its list of upstreams may have been.
+	ListBehind time.Duration
 	// Document is the configuration, empty if the follower has it.
 	Document []byte
 	Position membership.Position
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -27,6 +27,7 @@
 // service answers followers.
 type service struct {
 	beliefs   Beliefs
+	listAge   func() time.Duration
 	directory *Directory
 	loads     LoadTable
 }
@@ -68,5 +69,5 @@
 	}
 	now := time.Now()
 	reply.Loads = packLoads(now, s.loads.Newest(now, min(args.Since, mostSince)+overlap, mostLoads))
-	reply.Behind = s.beliefs.Age()
+	reply.Behind, reply.ListBehind = s.beliefs.Age(), s.listAge()
 }
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -39,8 +39,15 @@
 	staleAfter = 3 * time.Second
 	// farewellTimeout is how long a stopping host tries to remove its notice.
 	farewellTimeout = 300 * time.Millisecond
-	secretBytes     = 16
-	queuedChanges   = 64
+	// listSlack is how much older than the usual pace a reader's list of upstreams may
+	// be; a reader that has just got the store back has one that is much older.
+	listSlack = 500 * time.Millisecond
+	// usualPace holds until the upstreams are asked for.
+	usualPace = 1500 * time.Millisecond
+	// neverListed stands for the age of a list that was never read.
+	neverListed   = time.Hour
+	secretBytes   = 16
+	queuedChanges = 64
 )
 
 // A Board is where hosts write of themselves.
@@ -79,6 +86,8 @@
 	Configurations StoreConfigurations
 	Upstreams      StoreUpstreams
 	Loads          LoadTable
+	// Uptime is a steady clock that also counts the time for which the host was suspended.
+	Uptime func() time.Duration
 	// Decode reads a configuration that another host passes on.
 	Decode func(document []byte) (*traffic.Configuration, error)
 }
@@ -97,6 +106,9 @@
 	version   int64
 	calledAt  time.Time
 	changes   chan traffic.UpstreamChange
+	// listHeard is the moment up to which the upstreams are known, pace how often they are to be read.
+	listHeard atomic.Int64
+	pace      atomic.Int64
 	listedAt  time.Time
 	cancel    context.CancelFunc
 	done      sync.WaitGroup
@@ -108,10 +120,13 @@
 	// Reading from crypto/rand never fails.
 	_, _ = rand.Read(secret)
 	self := Peer{Name: o.Name, Notice: Notice{Address: o.Address, FailureDomain: o.FailureDomain, Secret: hex.EncodeToString(secret)}}
-	return &Source{
+	s := &Source{
 		options: o, directory: NewDirectory(self), clients: map[string]*peers.Client{},
 		changes: make(chan traffic.UpstreamChange, queuedChanges),
 	}
+	s.listHeard.Store(int64(o.Uptime() - neverListed))
+	s.pace.Store(int64(usualPace))
+	return s
 }
 
 // Start answers followers by what the beliefs hold, and begins to follow the list of hosts.
@@ -121,7 +136,7 @@
 	if s.options.Address == "" {
 		return nil
 	}
-	answering := &service{beliefs: beliefs, directory: s.directory, loads: s.options.Loads}
+	answering := &service{beliefs: beliefs, listAge: s.ListAge, directory: s.directory, loads: s.options.Loads}
 	server, err := peers.NewServer(s.options.Address, []string{s.directory.Self().Secret}, map[string]any{serviceName: answering})
 	if err != nil {
 		return fmt.Errorf("answer followers: %w", err)
@@ -154,6 +169,11 @@
 	return err
 }
 
+// ListAge returns how old the list of upstreams may be.
+func (s *Source) ListAge() time.Duration {
+	return s.options.Uptime() - time.Duration(s.listHeard.Load())
+}
+
 // Directory returns the hosts that are known.
 func (s *Source) Directory() *Directory { return s.directory }
 
@@ -244,7 +264,7 @@
 func (c configurations) follow(ctx context.Context, reader Peer) (*traffic.Configuration, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
 	defer cancel()
-	now := time.Now()
+	now, sent := time.Now(), c.options.Uptime()
 	args := FollowArgs{
 		Host: c.directory.Self().Name, Version: c.version, Position: c.position, Hosts: c.directory.Version(), Wait: followWait,
 		Loads: packLoads(now, c.options.Loads.TakeOwn()), Since: now.Sub(c.calledAt),
@@ -258,10 +278,14 @@
 	if err := c.client(reader).Call(ctx, reader.Address, followCall, &args, &reply); err != nil {
 		return nil, 0, err
 	}
-	if reply.Behind > staleAfter {
-		return nil, 0, &StaleError{Reader: reader.Name, Behind: reply.Behind}
+	if reply.Behind > staleAfter || reply.ListBehind > time.Duration(c.pace.Load())+listSlack {
+		return nil, 0, &StaleError{Reader: reader.Name, Behind: max(reply.Behind, reply.ListBehind)}
+	}
+	next, behind, err := c.take(reader, reply)
+	if err == nil {
+		c.listHeard.Store(int64(sent - reply.ListBehind))
 	}
-	return c.take(reader, reply)
+	return next, behind, err
 }
 
 // take takes in a reader's answer.
@@ -344,6 +368,7 @@
 
 // Next returns what a reader told; while there is none it reads the store at the pace given.
 func (u upstreams) Next(ctx context.Context, pace time.Duration) (traffic.UpstreamChange, error) {
+	u.pace.Store(int64(pace))
 	if u.following.Load() == nil {
 		return u.read(ctx, pace)
 	}
@@ -379,9 +404,11 @@
 	if u.following.Load() != nil {
 		return traffic.UpstreamChange{}, nil
 	}
+	sent := u.options.Uptime()
 	change, err := u.options.Upstreams.Next(ctx)
 	if err == nil {
 		u.listedAt = time.Now()
+		u.listHeard.Store(int64(sent))
 	}
 	return change, err
 }
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -369,6 +369,11 @@
 		return false
 	}
 	old, known := b.listed[u.ID]
+	if last, met := b.sequences[u.ID]; met && !known && u.Sequence <= last {
+		// Another host that has not heard yet that the upstream is gone still tells of
+		// it. An upstream that lives numbers its next entry higher.
+		return false
+	}
 	if _, lapsing := b.lapsing[u.ID]; lapsing && u.Sequence == b.sequences[u.ID] {
 		return false
 	}
--- a/jackdawd/internal/membership/keeper_test.go
+++ b/jackdawd/internal/membership/keeper_test.go
@@ -341,3 +341,24 @@
 		require.Equal(t, []string{"b"}, ids(k.Snapshot().Upstreams("reader")))
 	})
 }
+
+// An upstream is gone. A host that has not heard of it still tells of the entry that
+// was known here; only a later entry brings the upstream back.
+func TestGoneUpstreamComesBackByALaterEntry(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *atomic.Int64) {
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{
+				{Whole: true, Entries: []traffic.UpstreamEntry{listed("a", 4, traffic.Ready), listed("b", 1, traffic.Ready)}},
+				{Entries: []traffic.UpstreamEntry{traffic.Gone("a")}},
+				{Whole: true, Entries: []traffic.UpstreamEntry{listed("a", 4, traffic.Ready), listed("b", 1, traffic.Ready)}},
+			}
+		})
+		time.Sleep(6 * time.Second)
+		require.Equal(t, []string{"b"}, ids(k.Snapshot().Upstreams("reader")))
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{{Entries: []traffic.UpstreamEntry{listed("a", 5, traffic.Ready)}}}
+		})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []string{"a", "b"}, ids(k.Snapshot().Upstreams("reader")))
+	})
+}
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -56,7 +56,7 @@
 		j.Loads.Told(time.Now(), u, *head.Load)
 	}
 	switch {
-	case head.OtherUpstream:
+	case head.NotRun && head.Upstream != "" && head.Upstream != u.ID:
 		j.sent--
 		j.Members.Lost(u.ID)
 		return result{verdict: replaced}
