--- /dev/null
+++ b/soak/internal/cmd/cmd.go
@@ -0,0 +1,116 @@
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"jackdawhinge/soak/internal/plan"
+	"jackdawhinge/soak/internal/rig"
+	"jackdawhinge/soak/internal/verdict"
+)
+
+// errBroken says that a promise was broken; what, has been told.
+var errBroken = errors.New("promises were broken")
+
+const (
+	defaultFaults    = 12 * time.Second
+	defaultHosts     = 3
+	defaultUpstreams = 6
+	defaultCallers   = 12
+)
+
+// Main runs the command line and returns its exit code.
+func Main() int {
+	root := &cobra.Command{Use: "soak", Short: "Run entry hosts under faults and check what callers and upstreams see", SilenceUsage: true}
+	root.AddCommand(newRunCmd(), newPlanCmd())
+	if err := root.Execute(); err != nil {
+		return 1
+	}
+	return 0
+}
+
+func newRunCmd() *cobra.Command {
+	o := rig.Options{}
+	var first, seeds uint64
+	cmd := &cobra.Command{
+		Use:   "run PROGRAM DIR",
+		Short: "Play seeds with the daemon's binary; settings and logs go into the folder",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			broken := false
+			for seed := first; seed < first+seeds; seed++ {
+				one := o
+				one.Seed, one.Program, one.Dir = seed, args[0], filepath.Join(args[1], fmt.Sprintf("seed-%d", seed))
+				good, err := play(cmd.OutOrStdout(), one)
+				if err != nil {
+					return err
+				}
+				broken = broken || !good
+			}
+			if broken {
+				return errBroken
+			}
+			return nil
+		},
+	}
+	cmd.Flags().Uint64Var(&first, "seed", 1, "the first seed")
+	cmd.Flags().Uint64Var(&seeds, "seeds", 1, "how many seeds, one after the other")
+	cmd.Flags().DurationVar(&o.Faults, "faults", defaultFaults, "how long faults are injected")
+	cmd.Flags().IntVar(&o.Hosts, "hosts", defaultHosts, "how many hosts")
+	cmd.Flags().IntVar(&o.Upstreams, "upstreams", defaultUpstreams, "how many upstreams")
+	cmd.Flags().IntVar(&o.Callers, "callers", defaultCallers, "how many callers")
+	return cmd
+}
+
+// play plays one seed, prints its verdict and reports whether all promises were kept.
+func play(w io.Writer, o rig.Options) (bool, error) {
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return false, err
+	}
+	record, err := rig.Run(o)
+	if err != nil {
+		return false, err
+	}
+	served := 0
+	for _, e := range record.Exchanges {
+		if e.Status == 200 && e.Whole {
+			served++
+		}
+	}
+	violations := verdict.Check(record)
+	for _, v := range violations {
+		if _, err := fmt.Fprintln(w, "  broken:", v); err != nil {
+			return false, err
+		}
+	}
+	_, err = fmt.Fprintf(w, "seed %d: %d promises broken; %d requests, %d served, %d runs, %d faults\n",
+		o.Seed, len(violations), len(record.Exchanges), served, len(record.Runs), len(plan.Draw(o.Seed, o.Faults)))
+	return len(violations) == 0, err
+}
+
+func newPlanCmd() *cobra.Command {
+	var seed uint64
+	var faults time.Duration
+	cmd := &cobra.Command{
+		Use:   "plan",
+		Short: "Show the faults of a seed",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, f := range plan.Draw(seed, faults) {
+				if _, err := fmt.Fprintln(cmd.OutOrStdout(), f); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "the seed")
+	cmd.Flags().DurationVar(&faults, "faults", defaultFaults, "how long faults are injected")
+	return cmd
+}
--- /dev/null
+++ b/soak/internal/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd is the command line of the soak.
+package cmd
--- /dev/null
+++ b/soak/internal/rig/proxy.go
@@ -0,0 +1,135 @@
+package rig
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// A Mode is what a proxy does with what passes it.
+type Mode string
+
+// The modes.
+const (
+	Pass Mode = "pass"
+	// Hold passes nothing either way, without an end.
+	Hold Mode = "hold"
+	// HoldBack passes nothing from the server to the client.
+	HoldBack Mode = "hold-back"
+	// Delay passes everything later.
+	Delay Mode = "delay"
+)
+
+const delay = 150 * time.Millisecond
+
+// A Proxy forwards connections to a server on loopback.
+type Proxy struct {
+	listener net.Listener
+	server   string
+	mu       sync.Mutex
+	mode     Mode
+	changed  chan struct{}
+	conns    map[net.Conn]bool
+}
+
+// NewProxy returns a proxy to a server, on a port of its own.
+func NewProxy(server string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: l, server: server, mode: Pass, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return p, nil
+}
+
+// Address returns where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes the mode, also for connections that are open.
+func (p *Proxy) Set(m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Reset ends all connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			// Without lingering the close is a reset.
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// Close ends the proxy.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.Reset()
+}
+
+func (p *Proxy) serve(client net.Conn) {
+	server, err := net.Dial("tcp", p.server)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[client], p.conns[server] = true, true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(server, client, false) })
+	both.Go(func() { p.copy(client, server, true) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, client)
+	delete(p.conns, server)
+	p.mu.Unlock()
+}
+
+// copy forwards one way until either side ends, and then ends both.
+func (p *Proxy) copy(to, from net.Conn, back bool) {
+	defer func() { _ = to.Close() }()
+	defer func() { _ = from.Close() }()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		p.wait(back)
+		if _, werr := to.Write(buf[:n]); werr != nil || err == io.EOF || err != nil {
+			return
+		}
+	}
+}
+
+// wait holds what passes as long as the mode says.
+func (p *Proxy) wait(back bool) {
+	for {
+		p.mu.Lock()
+		mode, changed := p.mode, p.changed
+		p.mu.Unlock()
+		switch {
+		case mode == Hold || (mode == HoldBack && back):
+			<-changed
+		case mode == Delay:
+			time.Sleep(delay)
+			return
+		default:
+			return
+		}
+	}
+}
