--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -29,9 +29,12 @@
 	// listShare is the part of the drain bound after which the upstreams are read
 	// again; the rest is for the read itself and for a request on its way.
 	listShare = 0.75
-	// retryAfter is the pause after a failed read; with jitter of its half, so that
-	// the hosts do not all come back to a recovering store at once.
-	retryAfter = 200 * time.Millisecond
+	// retryAfter is the pause after a failed read, which doubles up to longestRetry with
+	// each further one, with jitter of its half: calls cost also while the store is
+	// away, and the hosts must not all come back to it at once. The longest is
+	// well below the time within which a change must be in force.
+	retryAfter   = 200 * time.Millisecond
+	longestRetry = 800 * time.Millisecond
 	// lapseGrace is how long after the store's return an upstream whose entry lapsed
 	// meanwhile is still believed in: live upstreams are back within that time.
 	lapseGrace = 2 * time.Second
@@ -251,7 +254,7 @@
 
 // followConfiguration reads the configuration until the context ends.
 func (k *Keeper) followConfiguration(ctx context.Context) {
-	wait := time.Duration(0)
+	wait, retry := time.Duration(0), time.Duration(0)
 	away := false
 	for ctx.Err() == nil {
 		sent := k.options.Uptime()
@@ -263,14 +266,14 @@
 			if !away {
 				logrus.WithError(err).WithField("age", k.Age().String()).Warn("membership: The configuration cannot be read. The last one stays in force.")
 			}
-			away, wait = true, 0
-			pause.For(ctx, retryAfter+rand.N(retryAfter/2))
+			away, wait, retry = true, 0, nextRetry(retry)
+			pause.For(ctx, retry+rand.N(retry/2))
 			continue
 		}
 		if away {
 			logrus.Info("membership: The configuration can be read again.")
 		}
-		away, wait = false, k.wait()
+		away, wait, retry = false, k.wait(), 0
 		if c == nil {
 			k.hear(sent - behind)
 			continue
@@ -291,6 +294,11 @@
 	}
 }
 
+// nextRetry returns the pause after a failed read that follows one with the pause given.
+func nextRetry(last time.Duration) time.Duration {
+	return min(max(2*last, retryAfter), longestRetry)
+}
+
 func (k *Keeper) takeConfiguration(b *beliefs, c *traffic.Configuration) {
 	if b.configuration != nil && c.Version() <= b.configuration.Version() {
 		// The store may return the newest record again; an older one never comes
@@ -305,6 +313,7 @@
 // followUpstreams reads the list of upstreams until the context ends.
 func (k *Keeper) followUpstreams(ctx context.Context) {
 	var returned time.Time
+	var retry time.Duration
 	away := false
 	for ctx.Err() == nil {
 		change, err := k.options.Upstreams.Next(ctx, time.Duration(listShare*float64(k.bounds.Load().Drain)))
@@ -315,14 +324,15 @@
 			if !away {
 				logrus.WithError(err).Warn("membership: The upstreams cannot be read. The last list stays in use.")
 			}
-			away = true
-			pause.For(ctx, retryAfter+rand.N(retryAfter/2))
+			away, retry = true, nextRetry(retry)
+			pause.For(ctx, retry+rand.N(retry/2))
 			continue
 		}
 		if away {
 			away, returned = false, time.Now()
 			logrus.Info("membership: The upstreams can be read again.")
 		}
+		retry = 0
 		giveUpAt := returned.Add(lapseGrace)
 		k.tell(ctx, func(b *beliefs) { k.takeUpstreams(b, change, giveUpAt) })
 	}
--- a/jackdawd/internal/membership/keeper_test.go
+++ b/jackdawd/internal/membership/keeper_test.go
@@ -362,3 +362,18 @@
 		require.Equal(t, []string{"a", "b"}, ids(k.Snapshot().Upstreams("reader")))
 	})
 }
+
+// The store is away for long. Calls cost meanwhile too, so that they become fewer, but
+// its return is noticed within a second or so.
+func TestReadsAreFewWhileTheStoreIsAway(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *atomic.Int64) {
+		s.set(func(s *source) { s.away, s.reads = true, 0 })
+		time.Sleep(30 * time.Second)
+		s.set(func(s *source) {
+			require.LessOrEqual(t, s.reads, 80)
+			s.away = false
+		})
+		time.Sleep(longestRetry + longestRetry/2)
+		require.True(t, k.Current())
+	})
+}
