--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
-	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"jackdawhinge/common/pause"
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/control"
 )
@@ -90,19 +87,6 @@
 	done    sync.WaitGroup
 }
 
-// beliefs is what only the control goroutine touches.
-type beliefs struct {
-	configuration *traffic.Configuration
-	listed        map[string]traffic.Upstream
-	// sequences holds the newest entry's number of each upstream, also of those that are gone.
-	sequences map[string]int64
-	// lapsing holds when an upstream that is no longer listed is given up.
-	lapsing  map[string]time.Time
-	evidence *control.Evidence
-	avoided  map[string]bool
-	log      changeLog
-}
-
 // never stands for a read that was not yet answered.
 const never = -1 << 62
 
@@ -251,188 +235,3 @@
 
 // Changes returns what other hosts may learn from this one.
 func (k *Keeper) Changes() *Changes { return k.changes.Load() }
-
-// followConfiguration reads the configuration until the context ends.
-func (k *Keeper) followConfiguration(ctx context.Context) {
-	wait, retry := time.Duration(0), time.Duration(0)
-	away := false
-	for ctx.Err() == nil {
-		sent := k.options.Uptime()
-		c, behind, err := k.options.Configurations.Next(ctx, wait)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			if !away {
-				logrus.WithError(err).WithField("age", k.Age().String()).Warn("membership: The configuration cannot be read. The last one stays in force.")
-			}
-			away, wait, retry = true, 0, nextRetry(retry)
-			pause.For(ctx, retry+rand.N(retry/2))
-			continue
-		}
-		if away {
-			logrus.Info("membership: The configuration can be read again.")
-		}
-		away, wait, retry = false, k.wait(), 0
-		if c == nil {
-			k.hear(sent - behind)
-			continue
-		}
-		k.tell(ctx, func(b *beliefs) {
-			k.takeConfiguration(b, c)
-			// Only now is what was read in force here.
-			k.hear(sent - behind)
-		})
-	}
-}
-
-// hear notes the moment up to which the configuration is known.
-func (k *Keeper) hear(at time.Duration) {
-	// Another host may be further behind than what was read here before.
-	if int64(at) > k.heard.Load() {
-		k.heard.Store(int64(at))
-	}
-}
-
-// nextRetry returns the pause after a failed read that follows one with the pause given.
-func nextRetry(last time.Duration) time.Duration {
-	return min(max(2*last, retryAfter), longestRetry)
-}
-
-func (k *Keeper) takeConfiguration(b *beliefs, c *traffic.Configuration) {
-	if b.configuration != nil && c.Version() <= b.configuration.Version() {
-		// The store may return the newest record again; an older one never comes
-		// into force after a newer one.
-		return
-	}
-	b.configuration = c
-	logrus.WithFields(logrus.Fields{"version": c.Version(), "routes": c.Routes()}).Info("membership: A configuration is in force.")
-	k.publish(b)
-}
-
-// followUpstreams reads the list of upstreams until the context ends.
-func (k *Keeper) followUpstreams(ctx context.Context) {
-	var returned time.Time
-	var retry time.Duration
-	away := false
-	for ctx.Err() == nil {
-		change, err := k.options.Upstreams.Next(ctx, time.Duration(listShare*float64(k.bounds.Load().Drain)))
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			if !away {
-				logrus.WithError(err).Warn("membership: The upstreams cannot be read. The last list stays in use.")
-			}
-			away, retry = true, nextRetry(retry)
-			pause.For(ctx, retry+rand.N(retry/2))
-			continue
-		}
-		if away {
-			away, returned = false, time.Now()
-			logrus.Info("membership: The upstreams can be read again.")
-		}
-		retry = 0
-		giveUpAt := returned.Add(lapseGrace)
-		k.tell(ctx, func(b *beliefs) { k.takeUpstreams(b, change, giveUpAt) })
-	}
-}
-
-// takeUpstreams takes in a change; what is gone is believed in until giveUpAt,
-// because entries lapse while the store is away though their upstreams live.
-func (k *Keeper) takeUpstreams(b *beliefs, change traffic.UpstreamChange, giveUpAt time.Time) {
-	for _, err := range change.Skipped {
-		logrus.WithError(err).Warn("membership: An upstream's entry was skipped.")
-	}
-	changed := false
-	listed := map[string]bool{}
-	for _, e := range change.Entries {
-		listed[e.ID] = e.Upstream != nil
-		if e.Upstream != nil {
-			changed = b.list(*e.Upstream) || changed
-		} else if _, ok := b.listed[e.ID]; ok {
-			b.lapsing[e.ID] = giveUpAt
-		}
-	}
-	for id := range b.listed {
-		if _, lapsing := b.lapsing[id]; change.Whole && !listed[id] && !lapsing {
-			b.lapsing[id] = giveUpAt
-		}
-	}
-	if !k.expire(b, time.Now()) && changed {
-		k.publish(b)
-	}
-}
-
-// remove drops an upstream.
-func (b *beliefs) remove(id string) {
-	delete(b.listed, id)
-	b.log.add(traffic.Gone(id))
-}
-
-// list takes in an upstream's entry and reports whether it says anything new.
-func (b *beliefs) list(u traffic.Upstream) bool {
-	if u.Sequence < b.sequences[u.ID] {
-		// An entry that was held up on its way says "ready" after the one that says
-		// "leaving", or after its upstream is gone; believing it would send work to
-		// an upstream that leaves. Upstreams number their entries.
-		return false
-	}
-	old, known := b.listed[u.ID]
-	if last, met := b.sequences[u.ID]; met && !known && u.Sequence <= last {
-		// Another host that has not heard yet that the upstream is gone still tells of
-		// it. An upstream that lives numbers its next entry higher.
-		return false
-	}
-	if _, lapsing := b.lapsing[u.ID]; lapsing && u.Sequence == b.sequences[u.ID] {
-		return false
-	}
-	delete(b.lapsing, u.ID)
-	b.sequences[u.ID] = u.Sequence
-	b.listed[u.ID] = u
-	old.Sequence = u.Sequence
-	if known && reflect.DeepEqual(old, u) {
-		return false
-	}
-	b.log.add(traffic.Listed(u))
-	logrus.WithFields(logrus.Fields{"upstream": u.ID, "pool": u.Pool, "state": u.State}).Info("membership: An upstream's entry changed.")
-	return true
-}
-
-// expire gives up the upstreams whose grace has ended, and reports whether there were any.
-func (k *Keeper) expire(b *beliefs, now time.Time) bool {
-	changed := false
-	for id, at := range b.lapsing {
-		if now.Before(at) {
-			continue
-		}
-		delete(b.lapsing, id)
-		b.remove(id)
-		changed = true
-		logrus.WithField("upstream", id).Info("membership: An upstream is gone.")
-	}
-	if !changed {
-		return false
-	}
-	listed := map[string]bool{}
-	for id := range b.listed {
-		listed[id] = true
-	}
-	b.evidence.Forget(listed)
-	b.forgetSequences()
-	k.publish(b)
-	return true
-}
-
-// forgetSequences drops what is remembered of upstreams that are gone once it is
-// much, and any entry of them that was held up has long come.
-func (b *beliefs) forgetSequences() {
-	if len(b.sequences) <= 2*len(b.listed)+rememberedGone {
-		return
-	}
-	for id := range b.sequences {
-		if _, ok := b.listed[id]; !ok {
-			delete(b.sequences, id)
-		}
-	}
-}
