--- a/capacity/internal/plan/slope.go
+++ b/capacity/internal/plan/slope.go
@@ -50,6 +50,12 @@
 	{"exchange-bytes", "ControlBytes/exchange-rows", "B/message", false},
 	{"host-list-bytes", "HostList/entries", "B/list", false},
 	{"exchange-time", "ControlBytes/exchange-rows", "ns/op", false},
+	{"choose-time", "Choose/engines", "ns/op", false},
+	{"snapshot-time", "Snapshot/upstreams", "ns/op", false},
+	{"snapshot-bytes", "Snapshot/upstreams", "held-B", false},
+	{"warmth-bytes", "Warmth/prompts", "held-B/prompt", true},
+	{"follow-time", "Follow/loads", "ns/op", false},
+	{"follow-bytes", "Follow/loads", "bytes/call", false},
 }
 
 var line = regexp.MustCompile(`^Benchmark(\S+?)(?:-\d+)?\s+\d+\s+(.*)$`)
--- a/capacity/internal/plan/tables.go
+++ b/capacity/internal/plan/tables.go
@@ -178,6 +178,7 @@
 		b.WriteString("\n")
 	}
 	m.budgets(&b)
+	m.platform(&b)
 	return b.String()
 }
 
--- a/jackdawd/internal/placement/warmth_test.go
+++ b/jackdawd/internal/placement/warmth_test.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -47,3 +49,25 @@
 	require.Len(t, places, rememberedPlaces)
 	require.Equal(t, "b", places[0].id)
 }
+
+func BenchmarkWarmth(b *testing.B) {
+	for _, n := range []int{1000, 4000, 16000} {
+		b.Run(fmt.Sprintf("prompts=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				w, now := NewWarmth(), time.Unix(100, 0)
+				for key := range uint64(n) {
+					for _, id := range []string{"a", "b"} {
+						w.Used(now, key, id)
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(w)
+			}
+			b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(n), "held-B/prompt")
+		})
+	}
+}
