--- a/jackdawd/internal/membership/beliefs.go
+++ b/jackdawd/internal/membership/beliefs.go
@@ -14,6 +14,8 @@
 type beliefs struct {
 	configuration *traffic.Configuration
 	listed        map[string]traffic.Upstream
+	// since holds when each listed upstream was listed first.
+	since map[string]time.Time
 	// sequences holds the newest entry's number of each upstream, also of those that are gone.
 	sequences map[string]int64
 	// lapsing holds when an upstream that is no longer listed is given up.
@@ -52,6 +54,7 @@
 // remove drops an upstream.
 func (b *beliefs) remove(id string) {
 	delete(b.listed, id)
+	delete(b.since, id)
 	b.log.add(traffic.Gone(id))
 }
 
@@ -75,6 +78,9 @@
 	delete(b.lapsing, u.ID)
 	b.sequences[u.ID] = u.Sequence
 	b.listed[u.ID] = u
+	if !known {
+		b.since[u.ID] = time.Now()
+	}
 	old.Sequence = u.Sequence
 	if known && reflect.DeepEqual(old, u) {
 		return false
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -96,7 +96,7 @@
 	k := &Keeper{options: o, inputs: make(chan func(*beliefs), inputBuffer), cancel: cancel}
 	k.heard.Store(never)
 	k.SetBounds(o.Bounds)
-	b := &beliefs{log: newChangeLog(), listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, sequences: map[string]int64{}, evidence: control.NewEvidence()}
+	b := &beliefs{log: newChangeLog(), listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, since: map[string]time.Time{}, sequences: map[string]int64{}, evidence: control.NewEvidence()}
 	k.publish(b)
 	k.done.Go(func() { k.run(ctx, b) })
 	k.done.Go(func() { k.followConfiguration(ctx) })
@@ -226,7 +226,7 @@
 		}
 	}
 	b.avoided = avoided
-	k.snapshot.Store(newSnapshot(b.configuration, b.listed, avoided))
+	k.snapshot.Store(newSnapshot(b.configuration, b.listed, b.since, avoided))
 	old := k.changes.Swap(b.log.changes(b.configuration, b.listed))
 	if old != nil {
 		close(old.superseded)
--- a/jackdawd/internal/membership/snapshot.go
+++ b/jackdawd/internal/membership/snapshot.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"time"
 
 	"jackdawhinge/common/traffic"
 )
@@ -12,6 +14,8 @@
 	configuration *traffic.Configuration
 	pools         map[string][]*traffic.Upstream
 	listed        map[string]*traffic.Upstream
+	all           map[string][]*traffic.Upstream
+	since         map[string]time.Time
 	avoided       map[string]bool
 }
 
@@ -37,24 +41,37 @@
 	return u, ok
 }
 
+// All returns a pool's upstreams, also those that leave, in order of their
+// identifiers; the slice must not be changed.
+func (s *Snapshot) All(pool string) []*traffic.Upstream { return s.all[pool] }
+
+// Since returns when the upstream was listed first, as far as this host saw it.
+func (s *Snapshot) Since(id string) time.Time { return s.since[id] }
+
 // Avoided reports whether this host's own experience speaks against an upstream.
 func (s *Snapshot) Avoided(id string) bool { return s.avoided[id] }
 
 // newSnapshot returns a snapshot of the upstreams that take new work.
-func newSnapshot(c *traffic.Configuration, listed map[string]traffic.Upstream, avoided map[string]bool) *Snapshot {
+func newSnapshot(c *traffic.Configuration, listed map[string]traffic.Upstream, since map[string]time.Time, avoided map[string]bool) *Snapshot {
 	s := &Snapshot{
 		configuration: c, pools: map[string][]*traffic.Upstream{},
-		listed: map[string]*traffic.Upstream{}, avoided: avoided,
+		all: map[string][]*traffic.Upstream{}, listed: map[string]*traffic.Upstream{},
+		since: maps.Clone(since), avoided: avoided,
 	}
 	for id, u := range listed {
 		s.listed[id] = &u
+		s.all[u.Pool] = append(s.all[u.Pool], &u)
 		if u.State != traffic.Ready {
 			continue
 		}
 		s.pools[u.Pool] = append(s.pools[u.Pool], &u)
 	}
+	byID := func(a, b *traffic.Upstream) int { return cmp.Compare(a.ID, b.ID) }
 	for _, pool := range s.pools {
-		slices.SortFunc(pool, func(a, b *traffic.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(pool, byID)
+	}
+	for _, pool := range s.all {
+		slices.SortFunc(pool, byID)
 	}
 	return s
 }
--- a/jackdawd/internal/placement/warmth.go
+++ b/jackdawd/internal/placement/warmth.go
@@ -8,6 +8,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/routing"
 )
 
 const (
@@ -57,10 +58,27 @@
 	w.places.Add(key, kept)
 }
 
+// A Pool is the upstreams that a prompt may be fetched from.
+type Pool interface {
+	// All returns the pool's upstreams, also those that leave.
+	All(pool string) []*traffic.Upstream
+	// Listed returns an upstream that is still listed.
+	Listed(id string) (*traffic.Upstream, bool)
+	// Since returns when an upstream was listed first.
+	Since(id string) time.Time
+}
+
+// youngFor is how long an upstream that has come is taken to have nothing cached.
+const youngFor = 15 * time.Second
+
 // Source returns an upstream other than the one given from which that one may
-// fetch the prompt, or nil. Where this host has not used the prompt itself, it is
-// the one that stands first in the prompt's order, to which other hosts send it.
-func (w *Warmth) Source(now time.Time, key uint64, to *traffic.Upstream, all []*traffic.Upstream, listed func(id string) (*traffic.Upstream, bool)) *traffic.Upstream {
+// fetch the prompt, or nil.
+//
+// Where this host has not used the prompt itself, it is the one that had it before
+// engines came and left: the first in the prompt's order that has not just come,
+// leaving ones included, for they still have it. While a third of a pool was replaced,
+// asking only those that take requests found every third prompt nowhere.
+func (w *Warmth) Source(now time.Time, key uint64, to *traffic.Upstream, pool Pool) *traffic.Upstream {
 	w.mu.Lock()
 	places, _ := w.places.Get(key)
 	w.mu.Unlock()
@@ -68,14 +86,26 @@
 		return nil
 	}
 	for _, p := range places {
-		if u, ok := listed(p.id); ok && now.Sub(p.usedAt) < warmFor {
+		if u, ok := pool.Listed(p.id); ok && now.Sub(p.usedAt) < warmFor {
 			return u
 		}
 	}
-	for _, i := range rank(key, all) {
-		if all[i].ID != to.ID {
-			return all[i]
+	return first(now, key, to, pool)
+}
+
+// first returns the first in the prompt's order other than the one given; one that has just come counts last.
+func first(now time.Time, key uint64, to *traffic.Upstream, pool Pool) *traffic.Upstream {
+	var best *traffic.Upstream
+	var bestScore uint64
+	bestYoung := true
+	for _, u := range pool.All(to.Pool) {
+		if u.ID == to.ID {
+			continue
+		}
+		score, young := routing.Score(key, u.Hash), now.Sub(pool.Since(u.ID)) < youngFor
+		if best == nil || (bestYoung && !young) || (bestYoung == young && score > bestScore) {
+			best, bestScore, bestYoung = u, score, young
 		}
 	}
-	return nil
+	return best
 }
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -157,7 +157,7 @@
 	if !j.cached {
 		return nil
 	}
-	return j.Warmth.Source(time.Now(), j.key, to, j.snapshot.Upstreams(j.pool.Name), j.snapshot.Listed)
+	return j.Warmth.Source(time.Now(), j.key, to, j.snapshot)
 }
 
 func contains(names []string, name string) bool {
