--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -34,9 +34,10 @@
 	readerWait = time.Second
 	// directoryEvery is how often a reader reads the list of hosts.
 	directoryEvery = 3 * time.Second
-	// staleAfter is the age from which a reader has lost the store itself: two reads and
-	// what they may take.
-	staleAfter = 3 * time.Second
+	// staleAfter is the age from which a reader has lost the store itself: two of its
+	// reads, of readerWait each, and what they may take while the store is slow. The
+	// sooner it is left, the more time is left to read the store here.
+	staleAfter = 2500 * time.Millisecond
 	// farewellTimeout is how long a stopping host tries to remove its notice.
 	farewellTimeout = 300 * time.Millisecond
 	// listSlack is how much older than the usual pace a reader's list of upstreams may
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -31,6 +31,9 @@
 	// retrySoon is when a caller should come back after something that passes in a
 	// moment: an upstream that is being replaced, a connection too many.
 	retrySoon = 100 * time.Millisecond
+	// retryFull is when a caller should come back to upstreams that are full: they work
+	// off a queue of 24 requests of 60 ms with 6 slots in 240 ms.
+	retryFull = 240 * time.Millisecond
 	// retryLater is when a caller should come back to a host that has lost the store or
 	// has no upstream: the next read may change that.
 	retryLater = 500 * time.Millisecond
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"jackdawhinge/common/traffic"
@@ -122,7 +123,7 @@
 	var fit, avoided []*traffic.Upstream
 	for _, u := range j.snapshot.Upstreams(j.pool.Name) {
 		switch {
-		case contains(j.tried, u.ID) || !u.Serves(j.request.Model):
+		case slices.Contains(j.tried, u.ID) || !u.Serves(j.request.Model):
 		case j.snapshot.Avoided(u.ID):
 			avoided = append(avoided, u)
 		default:
@@ -160,15 +161,6 @@
 	return j.Warmth.Source(time.Now(), j.key, to, j.snapshot)
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // again decides whether the request is tried at another upstream, and takes the retry from the budget.
 func (j *job) again(ctx context.Context, r result) bool {
 	if r.verdict == answered || r.verdict == callerLeft || ctx.Err() != nil {
@@ -215,7 +207,7 @@
 	case j.begun:
 		j.end(BrokenOff, j.status, nil)
 		panic(http.ErrAbortHandler)
-	case last.answer != nil && !last.answer.notRun:
+	case last.answer != nil:
 		j.pass(last.answer)
 		j.end(Answered, j.status, nil)
 	default:
@@ -236,7 +228,7 @@
 	case len(j.tried) == 0:
 		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "no upstream takes requests").Retry(retryLater)
 	case last.verdict == rejected:
-		return work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "the upstream is full").Retry(retrySoon)
+		return work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "the upstream is full").Retry(retryFull)
 	default:
 		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "no upstream could be reached").Retry(retrySoon)
 	}
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -115,7 +115,6 @@
 	status int
 	header http.Header
 	body   []byte
-	notRun bool
 }
 
 // whole brings an answer that is no stream to the caller.
