--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -66,7 +66,7 @@
 		Name: s.Host, Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain,
 		Protocol:       platform.Protocol{},
 		Configurations: platform.NewConfigurationFeed(store), Upstreams: platform.NewUpstreamFeed(store),
-		Peers: s.Peers, Board: platform.NewHostBoard(store), Decode: platform.DecodeConfiguration,
+		Peers: s.Peers, Strength: s.Strength, Board: platform.NewHostBoard(store), Decode: platform.DecodeConfiguration,
 		Bounds: bounds(s.Bounds), Meter: meter, Usual: usual, Unusual: logrus.StandardLogger(),
 	})
 	if err != nil {
@@ -79,7 +79,7 @@
 
 func bounds(b platform.Bounds) entry.Bounds {
 	return entry.Bounds{
-		Bounds:     membership.Bounds{Revoke: b.Revoke, Drain: b.Drain},
+		Bounds:     membership.Bounds{Revoke: b.Revoke, Drain: b.Drain, Lapse: b.Lapse},
 		Grace:      b.Grace,
 		RetryRatio: b.RetryRatio, LoadMultiple: b.LoadMultiple,
 	}
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -56,7 +56,9 @@
 	Upstreams      fleet.StoreUpstreams
 	// Peers is where other hosts reach this one, empty if they cannot; Board is where hosts write of themselves.
 	Peers string
-	Board fleet.Board
+	// Strength compares this host with others.
+	Strength float64
+	Board    fleet.Board
 	// Decode reads a configuration that another host passes on.
 	Decode func(document []byte) (*traffic.Configuration, error)
 	Bounds Bounds
@@ -101,7 +103,7 @@
 	h := &Host{options: o, loads: placement.NewLoads(), idle: newIdleConns(), failed: make(chan error, 1)}
 	h.bounds.Store(&o.Bounds)
 	h.source = fleet.NewSource(fleet.Options{
-		Name: o.Name, FailureDomain: o.FailureDomain, Address: o.Peers, Board: o.Board,
+		Name: o.Name, FailureDomain: o.FailureDomain, Address: o.Peers, Strength: o.Strength, Board: o.Board,
 		Configurations: o.Configurations, Upstreams: o.Upstreams, Loads: h.loads, Uptime: uptime, Decode: o.Decode,
 	})
 	h.keeper = membership.NewKeeper(membership.Options{
--- a/jackdawd/internal/fleet/directory.go
+++ b/jackdawd/internal/fleet/directory.go
@@ -28,6 +28,11 @@
 	// goneAfter is how long a host has not answered when its notice is removed. A host
 	// that lives writes another one.
 	goneAfter = 30 * time.Second
+	// strongShare is the part of the strongest host's strength from which hosts go
+	// before weaker ones as readers. A reader passes a changed configuration to tens of
+	// followers at once, which a link of 10 Mbit/s takes seconds for; meanwhile its own
+	// reads of the store fail.
+	strongShare = 0.5
 	// readersKey is what readers are ranked by.
 	readersKey = 0x72656164657273
 )
@@ -38,6 +43,8 @@
 	FailureDomain string `json:"failure-domain"`
 	// Secret is what callers must know to be answered.
 	Secret string `json:"secret"`
+	// Strength compares hosts: how much they can send and compute.
+	Strength float64 `json:"strength"`
 }
 
 // A Peer is another host of the system.
@@ -162,7 +169,7 @@
 	return 1
 }
 
-// ranked returns the hosts that are not suspected by rendezvous hashing; the lock must be held.
+// ranked returns the hosts that are not suspected, strong ones first, by rendezvous hashing; the lock must be held.
 func (d *Directory) ranked(now time.Time) []Peer {
 	peers := make([]Peer, 0, len(d.hosts))
 	for name, n := range d.hosts {
@@ -170,7 +177,20 @@
 			peers = append(peers, Peer{Name: name, Notice: n})
 		}
 	}
+	strongest := 0.0
+	for _, p := range peers {
+		strongest = max(strongest, p.Strength)
+	}
+	weak := func(p Peer) int {
+		if p.Strength < strongShare*strongest {
+			return 1
+		}
+		return 0
+	}
 	slices.SortFunc(peers, func(a, b Peer) int {
+		if c := cmp.Compare(weak(a), weak(b)); c != 0 {
+			return c
+		}
 		return cmp.Compare(routing.Score(readersKey, routing.HashOf(b.Name)), routing.Score(readersKey, routing.HashOf(a.Name)))
 	})
 	return peers
--- a/jackdawd/internal/fleet/directory_test.go
+++ b/jackdawd/internal/fleet/directory_test.go
@@ -96,3 +96,21 @@
 	a.Replace(hosts)
 	require.Equal(t, a.Version(), b.Version())
 }
+
+// Hosts of little strength read the store only if there are not enough strong ones:
+// passing a configuration on to all followers would keep their links busy for seconds.
+func TestStrongHostsRead(t *testing.T) {
+	d := directory(t, "entry-0", 90)
+	strong := map[string][]byte{}
+	for _, name := range []string{"entry-17", "entry-31", "entry-44", "entry-80", "entry-81"} {
+		text, err := json.Marshal(Notice{Address: name, Secret: "s", Strength: 160})
+		require.NoError(t, err)
+		strong[name] = text
+	}
+	d.Take(strong, false)
+	others, self := d.Readers(time.Unix(0, 0))
+	require.False(t, self)
+	for _, p := range others {
+		require.Contains(t, strong, p.Name)
+	}
+}
--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -74,8 +74,11 @@
 func (c configurations) take(reader Peer, reply FollowReply) (*traffic.Configuration, time.Duration, error) {
 	var next *traffic.Configuration
 	if len(reply.Document) > 0 {
-		var err error
-		if next, err = c.options.Decode(reply.Document); err != nil {
+		document, err := unpackDocument(reply.Document)
+		if err != nil {
+			return nil, 0, err
+		}
+		if next, err = c.options.Decode(document); err != nil {
 			return nil, 0, err
 		}
 	}
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -37,7 +37,7 @@
 	Behind time.Duration
 	// ListBehind is how old its list of upstreams may have been.
 	ListBehind time.Duration
-	// Document is the configuration, empty if the follower has it.
+	// Document is the configuration, packed; empty if the follower has it.
 	Document []byte
 	Position membership.Position
 	Whole    bool
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -30,6 +30,7 @@
 	listAge   func() time.Duration
 	directory *Directory
 	loads     LoadTable
+	packer    packer
 }
 
 // Follow returns what the follower has missed; it waits for a change if there is none.
@@ -46,8 +47,7 @@
 			waiting = false
 		}
 	}
-	s.fill(args, reply, changes)
-	return nil
+	return s.fill(args, reply, changes)
 }
 
 // news reports whether there is something that the follower does not know.
@@ -56,11 +56,15 @@
 	return newer || c.End() != args.Position
 }
 
-func (s *service) fill(args *FollowArgs, reply *FollowReply, c *membership.Changes) {
+func (s *service) fill(args *FollowArgs, reply *FollowReply, c *membership.Changes) error {
 	// The age is taken after the changes: what the host heard in between is in them or
 	// makes them older, never newer than is said.
 	if conf := c.Configuration(); conf != nil && conf.Version() > args.Version {
-		reply.Document = conf.Document()
+		packed, err := s.packer.pack(conf.Version(), conf.Document())
+		if err != nil {
+			return err
+		}
+		reply.Document = packed
 	}
 	change := c.Since(args.Position)
 	reply.Whole, reply.Entries, reply.Position = change.Whole, change.Entries, c.End()
@@ -70,4 +74,5 @@
 	now := time.Now()
 	reply.Loads = packLoads(now, s.loads.Newest(now, min(args.Since, mostSince)+overlap, mostLoads))
 	reply.Behind, reply.ListBehind = s.beliefs.Age(), s.listAge()
+	return nil
 }
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -81,6 +81,8 @@
 type Options struct {
 	Name          string
 	FailureDomain string
+	// Strength compares this host with others.
+	Strength float64
 	// Address is where other hosts reach this one; empty if they cannot.
 	Address        string
 	Board          Board
@@ -120,7 +122,7 @@
 	secret := make([]byte, secretBytes)
 	// Reading from crypto/rand never fails.
 	_, _ = rand.Read(secret)
-	self := Peer{Name: o.Name, Notice: Notice{Address: o.Address, FailureDomain: o.FailureDomain, Secret: hex.EncodeToString(secret)}}
+	self := Peer{Name: o.Name, Notice: Notice{Address: o.Address, FailureDomain: o.FailureDomain, Strength: o.Strength, Secret: hex.EncodeToString(secret)}}
 	s := &Source{
 		options: o, directory: NewDirectory(self), clients: map[string]*peers.Client{},
 		changes: make(chan traffic.UpstreamChange, queuedChanges),
--- a/jackdawd/internal/membership/follow.go
+++ b/jackdawd/internal/membership/follow.go
@@ -73,6 +73,7 @@
 func (k *Keeper) followUpstreams(ctx context.Context) {
 	var returned time.Time
 	var retry time.Duration
+	answered := time.Now()
 	away := false
 	for ctx.Err() == nil {
 		change, err := k.options.Upstreams.Next(ctx, time.Duration(listShare*float64(k.bounds.Load().Drain)))
@@ -88,10 +89,13 @@
 			continue
 		}
 		if away {
-			away, returned = false, time.Now()
+			away = false
+			if time.Since(answered) > k.bounds.Load().Lapse {
+				returned = time.Now()
+			}
 			logrus.Info("membership: The upstreams can be read again.")
 		}
-		retry = 0
+		retry, answered = 0, time.Now()
 		giveUpAt := returned.Add(lapseGrace)
 		k.tell(ctx, func(b *beliefs) { k.takeUpstreams(b, change, giveUpAt) })
 	}
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -72,6 +72,9 @@
 	Revoke time.Duration
 	// Drain is how long a leaving upstream may be sent work.
 	Drain time.Duration
+	// Lapse is how long an upstream must be silent before its entry is removed. If the
+	// store was away for less, entries that are gone did not lapse.
+	Lapse time.Duration
 }
 
 // A Keeper is the one goroutine that holds what a host believes.
