--- a/jackdawd/internal/exchange/answer.go
+++ b/jackdawd/internal/exchange/answer.go
@@ -145,7 +145,7 @@
 
 // reusable reports whether nothing of this exchange can still come or go.
 func (a *Answer) reusable() bool {
-	if !a.ended || a.resp.Close || a.conn.reader.Buffered() > 0 {
+	if !a.ended || a.resp.Close {
 		return false
 	}
 	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
--- a/jackdawd/internal/relay/stream_test.go
+++ b/jackdawd/internal/relay/stream_test.go
@@ -144,9 +144,39 @@
 				return true
 			}
 		})
+		begin := time.Now()
 		got := f.do(f.stream("/digest/x", "r1", 5))
 		require.NoError(t, got.err)
 		require.Equal(t, pieces(1, 5), got.body)
+		require.Less(t, time.Since(begin), 1500*time.Millisecond, "three times the longest pause, and the rest of the stream")
+	})
+}
+
+// A stream goes on at another engine, which answers with something else. The caller
+// must not read that as the rest of its stream.
+func TestOtherAnswerIsNoRestOfAStream(t *testing.T) {
+	run(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+		crashed := false
+		f.all(func(u *standin.Runner) standin.Behavior {
+			return func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+				if !crashed {
+					crashed = true
+					return cut(u, 2)(w, r, body)
+				}
+				return spoiled(sealed+"Content-Length: 2\r\n\r\nok", true)(u)(w, r, body)
+			}
+		})
+		got := f.do(f.stream("/digest/x", "r1", 9))
+		require.Error(t, got.err)
+		require.Equal(t, pieces(1, 2), got.body)
+	})
+}
+
+// An engine ends a stream without a single event, as if it were whole.
+func TestStreamWithoutEventsIsBroken(t *testing.T) {
+	run(t, []string{"reader-1"}, func(t *testing.T, f *fixture) {
+		f.all(spoiled(sealed+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true))
+		require.Equal(t, http.StatusBadGateway, f.do(f.stream("/sort/x", "r1", 9)).status)
 	})
 }
 
--- a/jackdawd/internal/telemetry/logwriter_test.go
+++ b/jackdawd/internal/telemetry/logwriter_test.go
@@ -45,6 +45,15 @@
 			require.NoError(t, err)
 		}
 		require.Zero(t, time.Since(begin))
+		unread, full := io.Pipe()
+		faults := NewLogWriter(full)
+		for range 3 * bufferedLines {
+			_, err := faults.Write([]byte("fault without room\n"))
+			require.NoError(t, err)
+		}
+		require.Zero(t, time.Since(begin), "nor do lines on faults wait")
+		require.NoError(t, unread.Close())
+		faults.Close(time.Second)
 		require.Positive(t, w.Dropped())
 		all := make(chan string)
 		go func() {
