--- a/capacity/internal/cmd/cmd.go
+++ b/capacity/internal/cmd/cmd.go
@@ -7,6 +7,8 @@
 
 	"github.com/spf13/cobra"
 
+	"jackdawhinge/capacity/internal/days"
+	"jackdawhinge/capacity/internal/marked"
 	"jackdawhinge/capacity/internal/plan"
 )
 
@@ -22,6 +24,10 @@
 			Use: "plot BENCHMARKS FOLDER", Short: "Draw each slope", Args: cobra.ExactArgs(2),
 			RunE: func(_ *cobra.Command, args []string) error { return draw(args[0], args[1]) },
 		},
+		&cobra.Command{
+			Use: "days JOURNAL FROM PAGE", Short: "Write the tables of the days measured since a time into the page", Args: cobra.ExactArgs(3),
+			RunE: func(_ *cobra.Command, args []string) error { return writeDays(args[0], args[1], args[2]) },
+		},
 	)
 	if err := root.Execute(); err != nil {
 		return 1
@@ -53,6 +59,28 @@
 	return os.WriteFile(page, []byte(text), 0o644)
 }
 
+// The marks between which the tables of measured days stand.
+const (
+	beginDays = "<!-- begin written by capacity days -->"
+	endDays   = "<!-- end written by capacity days -->"
+)
+
+func writeDays(journal, from, page string) error {
+	tables, err := days.Page(journal, from)
+	if err != nil {
+		return err
+	}
+	old, err := os.ReadFile(page)
+	if err != nil {
+		return fmt.Errorf("read page: %w", err)
+	}
+	text, err := marked.Insert(string(old), beginDays, endDays, tables)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(page, []byte(text), 0o644)
+}
+
 func draw(benchmarks, folder string) error {
 	slopes, err := readSlopes(benchmarks)
 	if err != nil {
--- /dev/null
+++ b/capacity/internal/days/doc.go
@@ -0,0 +1,2 @@
+// Package days writes the page of measured days from the journal's entries.
+package days
--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -63,7 +63,7 @@
 	store := platform.NewStore(s.Store)
 	meter.Family("store_calls", "answer", store.Answers)
 	host, err := entry.NewHost(entry.Options{
-		Name: s.Host, Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain,
+		Name: s.Host, Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain, Near: s.Near,
 		Protocol:       platform.Protocol{},
 		Configurations: platform.NewConfigurationFeed(store), Upstreams: platform.NewUpstreamFeed(store),
 		Peers: s.Peers, Strength: s.Strength, Board: platform.NewHostBoard(store), Decode: platform.DecodeConfiguration,
@@ -102,7 +102,7 @@
 			logrus.WithError(err).Warn("settings: The file cannot be used. The last settings stay in force.")
 			continue
 		}
-		if s == inForce {
+		if s.Equal(inForce) {
 			continue
 		}
 		if s.Callers != inForce.Callers || s.Readiness != inForce.Readiness || s.Inner != inForce.Inner {
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -47,10 +47,12 @@
 type Options struct {
 	Name string
 	// Callers, Readiness and Inner are addresses to listen on; Inner serves metrics and may be empty.
-	Callers        string
-	Readiness      string
-	Inner          string
-	FailureDomain  string
+	Callers       string
+	Readiness     string
+	Inner         string
+	FailureDomain string
+	// Near reports whether a failure domain lies in this host's region.
+	Near           func(failureDomain string) bool
 	Protocol       Protocol
 	Configurations fleet.StoreConfigurations
 	Upstreams      fleet.StoreUpstreams
@@ -118,7 +120,7 @@
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Members: h.keeper, Client: h.client, Loads: h.loads, Warmth: placement.NewWarmth(),
 		Budgets: h.budgets, Journal: stories.NewWriter(o.Usual, o.Unusual, o.Meter),
-		FailureDomain: o.FailureDomain, LoadMultiple: func() float64 { return h.bounds.Load().LoadMultiple },
+		FailureDomain: o.FailureDomain, Near: o.Near, LoadMultiple: func() float64 { return h.bounds.Load().LoadMultiple },
 	})
 	h.registerGauges(o.Meter)
 	h.serve(o.Meter)
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -67,7 +67,9 @@
 	Budgets       *Budgets
 	Journal       Journal
 	FailureDomain string
-	LoadMultiple  func() float64
+	// Near reports whether a failure domain lies in this host's region.
+	Near         func(failureDomain string) bool
+	LoadMultiple func() float64
 }
 
 // A Handler answers callers.
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -120,16 +120,7 @@
 func (j *job) place() *traffic.Upstream {
 	// A request may have waited or been tried for seconds; upstreams have left meanwhile.
 	j.snapshot = j.Members.Snapshot()
-	var fit, avoided []*traffic.Upstream
-	for _, u := range j.snapshot.Upstreams(j.pool.Name) {
-		switch {
-		case slices.Contains(j.tried, u.ID) || !u.Serves(j.request.Model):
-		case j.snapshot.Avoided(u.ID):
-			avoided = append(avoided, u)
-		default:
-			fit = append(fit, u)
-		}
-	}
+	fit, avoided := j.candidates()
 	spokenAgainst := len(avoided)
 	if len(fit) == 0 {
 		fit = avoided
@@ -153,6 +144,29 @@
 	return upstream
 }
 
+// candidates returns the upstreams that may be tried, and those of them that
+// evidence speaks against. Another region's are among them only if this one has none:
+// a request there and back takes longer than most targets allow, and the regions
+// lose each other at times.
+func (j *job) candidates() (fit, avoided []*traffic.Upstream) {
+	var far []*traffic.Upstream
+	for _, u := range j.snapshot.Upstreams(j.pool.Name) {
+		switch {
+		case slices.Contains(j.tried, u.ID) || !u.Serves(j.request.Model):
+		case j.snapshot.Avoided(u.ID):
+			avoided = append(avoided, u)
+		case !j.Near(u.FailureDomain):
+			far = append(far, u)
+		default:
+			fit = append(fit, u)
+		}
+	}
+	if len(fit) == 0 {
+		fit = far
+	}
+	return fit, avoided
+}
+
 // source returns the engine that the one given may fetch the prompt from, or nil.
 func (j *job) source(to *traffic.Upstream) *traffic.Upstream {
 	if !j.cached {
--- a/jackdawd/internal/relay/once_test.go
+++ b/jackdawd/internal/relay/once_test.go
@@ -383,3 +383,20 @@
 		require.Len(t, f.runners["reader-4"].Runs(), 1)
 	})
 }
+
+// The regions are far apart. Requests stay in the host's own as long as it has an
+// upstream that answers, and go to the other one before they are refused.
+func TestRequestsStayInTheRegion(t *testing.T) {
+	run(t, []string{"mailbox-1", "mailbox-2"}, func(t *testing.T, f *fixture) {
+		f.feed.mu.Lock()
+		f.feed.upstreams[0].FailureDomain = "far"
+		f.feed.upstreams[0].Sequence++
+		f.feed.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for _, id := range []string{"r1", "r2", "r3", "r4"} {
+			require.Equal(t, "answer of mailbox-2 to "+id, f.do(f.request(http.MethodPost, "/notice/x", id, "body")).body)
+		}
+		f.net.Kill(f.feed.upstreams[1].Address)
+		require.Equal(t, "answer of mailbox-1 to r5", f.do(f.request(http.MethodPost, "/notice/x", "r5", "body")).body)
+	})
+}
