--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -162,7 +161,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), farewellTimeout)
 	defer cancel()
-	err := errors.Join(s.options.Board.Put(ctx, s.directory.Self().Name, nil), s.server.Stop(ctx))
+	if err := s.options.Board.Put(ctx, s.directory.Self().Name, nil); err != nil {
+		// Others find out by themselves that this host is gone.
+		logrus.WithError(err).Info("fleet: This host's notice was not removed.")
+	}
+	err := s.server.Stop(ctx)
 	s.mu.Lock()
 	for _, c := range s.clients {
 		c.Close()
--- a/jackdawd/internal/membership/beliefs.go
+++ b/jackdawd/internal/membership/beliefs.go
@@ -14,6 +14,8 @@
 type beliefs struct {
 	configuration *traffic.Configuration
 	listed        map[string]traffic.Upstream
+	// known is set once the upstreams have been listed.
+	known bool
 	// since holds when each listed upstream was listed first.
 	since map[string]time.Time
 	// sequences holds the newest entry's number of each upstream, also of those that are gone.
@@ -31,7 +33,8 @@
 	for _, err := range change.Skipped {
 		logrus.WithError(err).Warn("membership: An upstream's entry was skipped.")
 	}
-	changed := false
+	changed := !b.known
+	b.known = true
 	listed := map[string]bool{}
 	for _, e := range change.Entries {
 		listed[e.ID] = e.Upstream != nil
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -136,10 +136,12 @@
 // Current reports whether the configuration is as new as reads can make it.
 func (k *Keeper) Current() bool { return k.Age() < 2*k.wait()+retryAfter }
 
-// Ready reports whether the host can serve: it knows a configuration that it may act on.
+// Ready reports whether the host can serve: it knows the upstreams, and a
+// configuration that it may act on.
 func (k *Keeper) Ready() bool {
-	c := k.Snapshot().Configuration()
-	return c != nil && (!c.Keyed() || k.HonorsKeys())
+	s := k.Snapshot()
+	c := s.Configuration()
+	return s.Known() && c != nil && (!c.Keyed() || k.HonorsKeys())
 }
 
 // Observe takes in from traffic whether an upstream did what it should; it never
@@ -229,7 +231,9 @@
 		}
 	}
 	b.avoided = avoided
-	k.snapshot.Store(newSnapshot(b.configuration, b.listed, b.since, avoided))
+	snapshot := newSnapshot(b.configuration, b.listed, b.since, avoided)
+	snapshot.known = b.known
+	k.snapshot.Store(snapshot)
 	old := k.changes.Swap(b.log.changes(b.configuration, b.listed))
 	if old != nil {
 		close(old.superseded)
--- a/jackdawd/internal/membership/keeper_test.go
+++ b/jackdawd/internal/membership/keeper_test.go
@@ -423,3 +423,24 @@
 		require.Equal(t, before+k.wait(), k.Age())
 	})
 }
+
+// A host has read the configuration, but its first read of the upstreams fails. Callers
+// that came now would be refused for lack of upstreams, so it is not ready.
+func TestNotReadyBeforeTheUpstreamsAreKnown(t *testing.T) {
+	logrus.SetOutput(io.Discard)
+	synctest.Test(t, func(t *testing.T) {
+		s, away := &source{versions: []*traffic.Configuration{version(7)}}, &source{away: true}
+		begin := time.Now()
+		k := NewKeeper(Options{
+			Configurations: configurationSource{s}, Upstreams: upstreamSource{away}, Uptime: func() time.Duration { return time.Since(begin) },
+			Bounds: Bounds{Revoke: 5 * time.Second, Drain: 2 * time.Second, Lapse: 3600 * time.Millisecond},
+		})
+		defer k.Close()
+		synctest.Wait()
+		require.NotNil(t, k.Snapshot().Configuration())
+		require.False(t, k.Ready())
+		away.set(func(s *source) { s.away = false })
+		time.Sleep(2 * time.Second)
+		require.True(t, k.Ready(), "also if there are none")
+	})
+}
--- a/jackdawd/internal/membership/snapshot.go
+++ b/jackdawd/internal/membership/snapshot.go
@@ -17,11 +17,15 @@
 	all           map[string][]*traffic.Upstream
 	since         map[string]time.Time
 	avoided       map[string]bool
+	known         bool
 }
 
 // Configuration returns the configuration in force, or nil before there is one.
 func (s *Snapshot) Configuration() *traffic.Configuration { return s.configuration }
 
+// Known reports whether the upstreams have been listed.
+func (s *Snapshot) Known() bool { return s.known }
+
 // Upstreams returns a pool's upstreams that take new work, in order of their
 // identifiers; the slice must not be changed.
 func (s *Snapshot) Upstreams(pool string) []*traffic.Upstream { return s.pools[pool] }
--- a/soak/internal/rig/caller.go
+++ b/soak/internal/rig/caller.go
@@ -36,7 +36,7 @@
 	e.Sent = time.Now()
 	resp, err := client.Do(req)
 	if err == nil {
-		e.Status, e.AnswerID = resp.StatusCode, resp.Header.Get("X-Attempt-Id")
+		e.Status, e.AnswerID = resp.StatusCode, resp.Header.Get(standin.RequestIDHeader)
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
 		// The body has been read as far as it came.
