--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -169,7 +169,7 @@
 	}
 	if !j.Members.HonorsKeys() {
 		// The key may have been revoked without this host's hearing of it.
-		return work.Refuse(http.StatusServiceUnavailable, work.NotReady, "the host has lost touch with the store").Retry(retryLater)
+		return work.Refuse(http.StatusServiceUnavailable, work.NotReady, "the host cannot read the store").Retry(retryLater)
 	}
 	workspace, ok := c.Workspace(j.request.Key)
 	if ok {
--- a/soak/internal/verdict/checks.go
+++ b/soak/internal/verdict/checks.go
@@ -113,7 +113,7 @@
 	return nil
 }
 
-// drained: a leaving upstream gets no new work, from hosts in touch.
+// drained: a leaving upstream gets no new work, from hosts that can read the store.
 func drained(r *Record) (out []Violation) {
 	hosts := map[string]Exchange{}
 	for _, e := range r.Exchanges {
@@ -134,7 +134,7 @@
 	return out
 }
 
-// inForce: a route that was added is served by hosts in touch.
+// inForce: a route that was added is served by hosts that can read the store.
 func inForce(r *Record) (out []Violation) {
 	for _, c := range r.Changes {
 		for _, e := range r.Exchanges {
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -74,7 +74,7 @@
 	mu        sync.Mutex
 	Exchanges []Exchange
 	Runs      []Run
-	// Disturbed are the times at which hosts were paused, killed, stopped or out of touch with the store.
+	// Disturbed are the times at which hosts were paused, killed, stopped or unable to read the store.
 	Disturbed []Span
 	// Upset are the times at which upstreams were disturbed.
 	Upset []Span
