--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -60,7 +60,7 @@
 	if err := c.client(reader).Call(ctx, reader.Address, followCall, &args, &reply); err != nil {
 		return nil, 0, err
 	}
-	if reply.Behind > staleAfter || reply.ListBehind > time.Duration(c.pace.Load())+listSlack {
+	if reply.Behind > staleAfter || reply.ListBehind > c.oldestList() {
 		return nil, 0, &StaleError{Reader: reader.Name, Behind: max(reply.Behind, reply.ListBehind)}
 	}
 	next, behind, err := c.take(reader, reply)
@@ -70,6 +70,11 @@
 	return next, behind, err
 }
 
+// oldestList returns how old a reader's list of upstreams may be.
+func (s *Source) oldestList() time.Duration {
+	return time.Duration(readerPace*float64(s.pace.Load())) + listSlack
+}
+
 // take takes in a reader's answer.
 func (c configurations) take(reader Peer, reply FollowReply) (*traffic.Configuration, time.Duration, error) {
 	var next *traffic.Configuration
@@ -130,6 +135,9 @@
 	select {
 	case change := <-u.changes:
 		return change, nil
+	case <-u.left:
+		// What the reader had not heard of may be seconds old already.
+		return u.read(ctx, 0)
 	case <-timer.C:
 		return traffic.UpstreamChange{}, nil
 	case <-ctx.Done():
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -39,9 +39,11 @@
 	staleAfter = 2500 * time.Millisecond
 	// farewellTimeout is how long a stopping host tries to remove its notice.
 	farewellTimeout = 300 * time.Millisecond
-	// listSlack is how much older than the usual pace a reader's list of upstreams may
-	// be; a reader that has just got the store back has one that is much older.
-	listSlack = 500 * time.Millisecond
+	// listSlack is how much older than the time between two of its reads a reader's list
+	// of upstreams may be. An upstream may say that it leaves just after the last read; this,
+	// followWait and a read of the store come on top until a follower knows, 1.6 s
+	// altogether where 2 s are allowed.
+	listSlack = 400 * time.Millisecond
 	// usualPace holds until the upstreams are asked for.
 	usualPace = 1500 * time.Millisecond
 	// neverListed stands for the age of a list that was never read.
@@ -108,6 +110,8 @@
 	version   int64
 	calledAt  time.Time
 	changes   chan traffic.UpstreamChange
+	// left holds a token when a reader was left, for the upstreams to be read at once.
+	left chan struct{}
 	// listHeard is the moment up to which the upstreams are known, pace how often they are to be read.
 	listHeard atomic.Int64
 	pace      atomic.Int64
@@ -124,7 +128,7 @@
 	self := Peer{Name: o.Name, Notice: Notice{Address: o.Address, FailureDomain: o.FailureDomain, Strength: o.Strength, Secret: hex.EncodeToString(secret)}}
 	s := &Source{
 		options: o, directory: NewDirectory(self), clients: map[string]*peers.Client{},
-		changes: make(chan traffic.UpstreamChange, queuedChanges),
+		changes: make(chan traffic.UpstreamChange, queuedChanges), left: make(chan struct{}, 1),
 	}
 	s.listHeard.Store(int64(o.Uptime() - neverListed))
 	s.pace.Store(int64(usualPace))
@@ -248,6 +252,10 @@
 	old := s.following.Swap(p)
 	switch {
 	case p == nil && old != nil:
+		select {
+		case s.left <- struct{}{}:
+		default:
+		}
 		logrus.WithField("peer", old.Name).Info("fleet: The store is read here.")
 	case p != nil && (old == nil || old.Name != p.Name):
 		logrus.WithField("peer", p.Name).Info("fleet: A reader is followed.")
