--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -16,6 +17,7 @@
 
 	"jackdawhinge/jackdawd/internal/entry"
 	"jackdawhinge/jackdawd/internal/membership"
+	"jackdawhinge/jackdawd/internal/settings"
 	"jackdawhinge/jackdawd/internal/telemetry"
 	"jackdawhinge/platform"
 )
@@ -34,16 +36,47 @@
 	collectAt = 50
 )
 
+// observation is what the platform's settings do not say of logs and traces.
+type observation struct {
+	logFormat string
+	collector string
+	share     float64
+}
+
+func (o observation) check() error {
+	if o.logFormat != string(settings.JSONLogs) && o.logFormat != string(settings.TextLogs) {
+		return fmt.Errorf("--log-format must be %s or %s", settings.JSONLogs, settings.TextLogs)
+	}
+	if o.share < 0 || o.share > 1 {
+		return errors.New("--trace-share must be from 0 to 1")
+	}
+	return nil
+}
+
+// defaultTraceShare is the share of requests that are traced where there is a
+// collector: at 40 requests a second a host sends a few spans a second.
+const defaultTraceShare = 0.01
+
 func newRunPlatformCmd() *cobra.Command {
-	return &cobra.Command{
+	var o observation
+	cmd := &cobra.Command{
 		Use:   "run-platform",
 		Short: "Run an entry host on the users' platform until SIGTERM; its settings are where the environment says",
 		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return runPlatform(cmd.Context()) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := o.check(); err != nil {
+				return err
+			}
+			return runPlatform(cmd.Context(), o)
+		},
 	}
+	cmd.Flags().StringVar(&o.logFormat, "log-format", string(settings.JSONLogs), "json or text")
+	cmd.Flags().StringVar(&o.collector, "trace-collector", "", "address of an OTLP collector for traces; none are sent without it")
+	cmd.Flags().Float64Var(&o.share, "trace-share", defaultTraceShare, "share of requests to trace, from 0 to 1")
+	return cmd
 }
 
-func runPlatform(ctx context.Context) error {
+func runPlatform(ctx context.Context, o observation) error {
 	// A signal that came before anybody listens for it would end the process.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -54,16 +87,20 @@
 	}
 	lines := telemetry.NewLogWriter(os.Stdout)
 	defer lines.Close(flushWithin)
-	setUpLogger(logrus.StandardLogger(), lines, s.Host)
+	setUpLogger(logrus.StandardLogger(), lines, s.Host, o.logFormat)
 	usual := logrus.New()
-	setUpLogger(usual, lines.Plentiful(), s.Host)
+	setUpLogger(usual, lines.Plentiful(), s.Host, o.logFormat)
+	stopTraces, err := telemetry.StartTraces(s.Host, o.collector, o.share)
+	if err != nil {
+		return err
+	}
+	defer endTraces(stopTraces)
 	meter := telemetry.NewMeter()
 	meter.Gauge("log_lines_dropped", lines.Dropped)
 	klog.SetLogger(klog.NewFilter(klog.DefaultLogger, klog.FilterLevel(klog.LevelError)))
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	debug.SetGCPercent(collectAt)
-	store := platform.NewStore(s.Store)
-	meter.Family("store_calls", "answer", store.Answers)
+	store := platform.NewStore(s.Store, meter)
 	host, err := entry.NewHost(entry.Options{
 		Name: s.Host, Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain, Near: s.Near,
 		Protocol:       platform.Protocol{},
@@ -117,9 +154,21 @@
 	}
 }
 
-// setUpLogger makes a logger write JSON lines that name the host.
-func setUpLogger(l *logrus.Logger, out io.Writer, host string) {
+// endTraces sends the last traces off.
+func endTraces(stop func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushWithin)
+	defer cancel()
+	if err := stop(ctx); err != nil {
+		logrus.WithError(err).Warn("entry: The last traces were not sent.")
+	}
+}
+
+// setUpLogger makes a logger write lines that name the host.
+func setUpLogger(l *logrus.Logger, out io.Writer, host, format string) {
 	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	if format == string(settings.TextLogs) {
+		l.SetFormatter(&logrus.TextFormatter{TimestampFormat: time.RFC3339Nano, DisableColors: true, FullTimestamp: true})
+	}
 	l.SetOutput(out)
 	l.AddHook(hostHook{host})
 }
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"jackdawhinge/jackdawd/internal/placement"
 	"jackdawhinge/jackdawd/internal/telemetry"
 )
 
@@ -15,6 +16,8 @@
 	m.Gauge("requests_in_progress", h.handler.InProgress)
 	m.Gauge("upstream_connections_opened", h.client.Dialed)
 	m.Gauge("configuration_age_milliseconds", func() int64 { return min(h.keeper.Age(), time.Hour).Milliseconds() })
+	m.Gauge("upstream_list_age_milliseconds", func() int64 { return min(h.source.ListAge(), time.Hour).Milliseconds() })
+	m.Gauge("out_of_touch_milliseconds", func() int64 { return h.keeper.OutOfTouch().Milliseconds() })
 	m.Gauge("fleet_bytes", h.source.Bytes)
 	m.Gauge("fleet_hosts", func() int64 {
 		hosts, _ := h.source.Directory().All()
@@ -40,6 +43,7 @@
 	})
 	m.Family("retries_left", "pool", h.budgets.Left)
 	m.Family("pool_upstreams", "pool", h.poolSizes)
+	m.Family("pool_load_bound", "pool", h.poolBounds)
 	m.Family("upstream_requests", "upstream", h.upstreamRequests)
 	m.Family("upstreams_avoided", "pool", h.poolAvoided)
 }
@@ -52,6 +56,16 @@
 	return sizes
 }
 
+// poolBounds returns how many requests an upstream of each pool may have for one with a prompt to be placed there.
+func (h *Host) poolBounds() map[string]int64 {
+	bounds := map[string]int64{}
+	for name, pool := range h.keeper.Snapshot().Pools() {
+		choice := placement.Choice{Loads: h.loads.All(time.Now(), pool), Multiple: h.bounds.Load().LoadMultiple}
+		bounds[name] = int64(choice.Bound())
+	}
+	return bounds
+}
+
 func (h *Host) poolAvoided() map[string]int64 {
 	s := h.keeper.Snapshot()
 	avoided := map[string]int64{}
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -83,11 +83,13 @@
 	bounds   atomic.Pointer[Bounds]
 	snapshot atomic.Pointer[Snapshot]
 	// heard is when the last read of the configuration that was answered had been sent.
-	heard   atomic.Int64
-	changes atomic.Pointer[Changes]
-	inputs  chan func(*beliefs)
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	heard atomic.Int64
+	// outOfTouch is for how long the configuration was older than reads can make it.
+	outOfTouch atomic.Int64
+	changes    atomic.Pointer[Changes]
+	inputs     chan func(*beliefs)
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
 }
 
 // never stands for a read that was not yet answered.
@@ -136,6 +138,9 @@
 // Current reports whether the configuration is as new as reads can make it.
 func (k *Keeper) Current() bool { return k.Age() < 2*k.wait()+retryAfter }
 
+// OutOfTouch returns for how long altogether the host had not heard of the configuration as it should.
+func (k *Keeper) OutOfTouch() time.Duration { return time.Duration(k.outOfTouch.Load()) }
+
 // Ready reports whether the host can serve: it knows the upstreams, and a
 // configuration that it may act on.
 func (k *Keeper) Ready() bool {
@@ -185,6 +190,9 @@
 		case input := <-k.inputs:
 			input(b)
 		case <-ticker.C:
+			if !k.Current() {
+				k.outOfTouch.Add(int64(tick))
+			}
 			k.expire(b, time.Now())
 			k.refresh(b)
 		}
--- a/jackdawd/internal/membership/keeper_test.go
+++ b/jackdawd/internal/membership/keeper_test.go
@@ -260,3 +260,18 @@
 		require.Equal(t, before+k.wait(), k.Age())
 	})
 }
+
+// The store is away for ten seconds. Operators see for how long the host has not heard
+// of the configuration as it should.
+func TestTimeOutOfTouchIsCounted(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *atomic.Int64) {
+		s.set(func(s *source) { s.away = true })
+		time.Sleep(10 * time.Second)
+		s.set(func(s *source) { s.away = false })
+		time.Sleep(10 * time.Second)
+		require.InDelta(t, 10, k.OutOfTouch().Seconds(), 4)
+		before := k.OutOfTouch()
+		time.Sleep(10 * time.Second)
+		require.Equal(t, before, k.OutOfTouch())
+	})
+}
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -51,7 +51,7 @@
 // above the mean. Every host has the same order, so that without overload all
 // requests of a prompt meet at one engine.
 func (c Choice) warmest() *traffic.Upstream {
-	bound := c.bound()
+	bound := c.Bound()
 	var first *traffic.Upstream
 	var highest uint64
 	for i, u := range c.Upstreams {
@@ -88,7 +88,8 @@
 	return order
 }
 
-func (c Choice) bound() float64 {
+// Bound returns how many requests an upstream may have for one with a prompt to be placed there.
+func (c Choice) Bound() float64 {
 	return c.Multiple*boundShare*c.Mean() + boundSlack
 }
 
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -8,6 +8,9 @@
 	"slices"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/events"
 	"jackdawhinge/jackdawd/internal/exchange"
@@ -52,7 +55,10 @@
 	// age is how old the configuration may have been when the request arrived.
 	age        time.Duration
 	firstEvent time.Duration
-	steps      []Step
+	// sentAt is when the last piece of a stream went out.
+	sentAt       time.Time
+	longestPause time.Duration
+	steps        []Step
 }
 
 // verdict says how a try at one upstream ended.
@@ -94,7 +100,9 @@
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
-	ctx, span := j.tracer.Start(ctx, "relay")
+	ctx, span := j.tracer.Start(ctx, "relay", trace.WithAttributes(
+		attribute.String("request", j.request.ID), attribute.String("route", j.route.Name),
+	))
 	defer span.End()
 	j.key, j.cached = j.request.CacheKey()
 	if !j.cached {
@@ -109,7 +117,7 @@
 		if upstream == nil {
 			break
 		}
-		last = j.try(ctx, upstream)
+		last = j.traced(ctx, upstream)
 		j.note(Step{Decision: Tried, Upstream: upstream.ID, Verdict: string(last.verdict), Err: last.err})
 		if !j.again(ctx, last) {
 			break
@@ -118,6 +126,20 @@
 	j.finish(ctx, last)
 }
 
+// traced tries an upstream, in a span of its own.
+func (j *job) traced(ctx context.Context, u *traffic.Upstream) result {
+	ctx, span := j.tracer.Start(ctx, "upstream", trace.WithAttributes(
+		attribute.String("upstream", u.ID), attribute.String("pool", u.Pool), attribute.Int("try", len(j.tried)+1),
+	))
+	defer span.End()
+	r := j.try(ctx, u)
+	span.SetAttributes(attribute.String("verdict", string(r.verdict)))
+	if r.err != nil {
+		span.RecordError(r.err)
+	}
+	return r
+}
+
 // place chooses an upstream that was not tried yet, or nil.
 func (j *job) place() *traffic.Upstream {
 	// A request may have waited or been tried for seconds; upstreams have left meanwhile.
@@ -137,7 +159,7 @@
 		return nil
 	}
 	j.fetchFrom = j.source(upstream)
-	placed := Step{Decision: Placed, Upstream: upstream.ID, Candidates: len(fit), Avoided: spokenAgainst, Mean: choice.Mean()}
+	placed := Step{Decision: Placed, Upstream: upstream.ID, Candidates: len(fit), Avoided: spokenAgainst, Mean: choice.Mean(), Cached: j.cached}
 	placed.Load = j.Loads.Estimate(time.Now(), upstream)
 	if j.fetchFrom != nil {
 		placed.FetchFrom = j.fetchFrom.ID
--- a/jackdawd/internal/relay/journal.go
+++ b/jackdawd/internal/relay/journal.go
@@ -44,7 +44,9 @@
 	// Load is what the chosen upstream was thought to have, Mean what its pool has.
 	Load float64
 	Mean float64
-	// FetchFrom is the upstream that the chosen one was told to fetch the prompt from.
+	// Cached is set if the request has a prompt that engines cache; FetchFrom is the
+	// upstream that the chosen one was told to fetch it from, empty if it should have it.
+	Cached    bool
 	FetchFrom string
 	// Verdict and Err are how a try ended.
 	Verdict string
@@ -72,7 +74,9 @@
 	Refusal *work.Refusal
 	// FirstEvent is when the answer began to go out; 0 if it did not.
 	FirstEvent time.Duration
-	Took       time.Duration
+	// LongestPause is the longest time between two pieces of a stream; 0 if there were not two.
+	LongestPause time.Duration
+	Took         time.Duration
 }
 
 // Tries returns how many upstreams the request was sent to.
@@ -100,7 +104,7 @@
 func (j *job) end(o Outcome, status int, refusal *work.Refusal) {
 	s := &Story{
 		Request: j.request.ID, Workspace: j.workspace.Name, Pool: j.pool.Name, Arrived: j.arrived, Steps: j.steps,
-		Outcome: o, Status: status, Refusal: refusal, FirstEvent: j.firstEvent, Took: time.Since(j.arrived), Age: j.age,
+		Outcome: o, Status: status, Refusal: refusal, FirstEvent: j.firstEvent, LongestPause: j.longestPause, Took: time.Since(j.arrived), Age: j.age,
 	}
 	if j.route != nil {
 		s.Route, s.Kind = j.route.Name, string(j.route.Kind)
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -65,7 +65,12 @@
 		// A stream that goes on at another upstream keeps its first head.
 		j.begin(a.Status(), a.Header())
 	}
-	if err := j.out.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	now := time.Now()
+	if !j.sentAt.IsZero() {
+		j.longestPause = max(j.longestPause, now.Sub(j.sentAt))
+	}
+	j.sentAt = now
+	if err := j.out.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
 		return err
 	}
 	if _, err := j.w.Write(whole); err != nil {
--- /dev/null
+++ b/jackdawd/internal/relay/trace_test.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"jackdawhinge/platform/standin"
+)
+
+// An engine breaks off and another one goes on. The caller sees one stream; the trace
+// shows each try as a span of its own, under that of the request.
+func TestEachTryHasASpan(t *testing.T) {
+	run(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+		spans := tracetest.NewSpanRecorder()
+		f.handler.tracer = trace.NewTracerProvider(trace.WithSpanProcessor(spans)).Tracer("test")
+		broken := false
+		f.all(func(r *standin.Runner) standin.Behavior {
+			return func(w http.ResponseWriter, req *http.Request, body []byte) bool {
+				if broken {
+					return false
+				}
+				broken = true
+				return cut(r, 2)(w, req, body)
+			}
+		})
+		require.NoError(t, f.do(f.stream("/digest/x", "r1", 4)).err)
+		ended := spans.Ended()
+		require.Len(t, ended, 3)
+		request := ended[2]
+		require.Equal(t, "relay", request.Name())
+		for i, verdict := range []string{"broken", "answered"} {
+			require.Equal(t, "upstream", ended[i].Name())
+			require.Equal(t, request.SpanContext().SpanID(), ended[i].Parent().SpanID())
+			require.Contains(t, ended[i].Attributes(), attribute.String("verdict", verdict))
+		}
+	})
+}
+
+// An engine makes a pause in the middle of a stream. The story tells how long it was,
+// since a pause that is too long makes an answer late that began in time.
+func TestLongestPauseIsTold(t *testing.T) {
+	run(t, []string{"reader-1"}, func(t *testing.T, f *fixture) {
+		f.runners["reader-1"].SetBehavior(func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+			id := f.runners["reader-1"].Note(r, body).ID
+			f.runners["reader-1"].Seal(w.Header(), id)
+			w.Header().Set("Content-Type", "text/event-stream")
+			for _, wait := range []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond, 20 * time.Millisecond} {
+				time.Sleep(wait)
+				_, _ = w.Write([]byte(standin.Event(1)))
+				_ = http.NewResponseController(w).Flush()
+			}
+			return true
+		})
+		f.do(f.stream("/sort/x", "r1", 4))
+		require.Equal(t, 300*time.Millisecond, f.journal.last().LongestPause)
+	})
+}
--- a/jackdawd/internal/stories/writer.go
+++ b/jackdawd/internal/stories/writer.go
@@ -130,11 +130,11 @@
 	})
 	switch s.Outcome {
 	case relay.Answered:
-		e.WithField("first", s.FirstEvent.String()).Info("relay: Answered.")
+		e.WithFields(logrus.Fields{"first": s.FirstEvent.String(), "longest-pause": s.LongestPause.String()}).Info("relay: Answered.")
 	case relay.Left:
 		e.Info("relay: The caller left.")
 	case relay.BrokenOff:
-		e.WithField("first", s.FirstEvent.String()).Warn("relay: The answer broke off.")
+		e.WithFields(logrus.Fields{"first": s.FirstEvent.String(), "longest-pause": s.LongestPause.String()}).Warn("relay: The answer broke off.")
 	case relay.Refused:
 		e.WithFields(logrus.Fields{
 			"code": s.Refusal.Code, "outcome": s.Refusal.Outcome, "reason": s.Refusal.Message, "retry-after": s.Refusal.RetryAfter.String(),
@@ -155,6 +155,8 @@
 	}
 	for _, step := range s.Steps {
 		switch step.Decision {
+		case relay.Placed:
+			w.countPrompt(step)
 		case relay.Tried:
 			w.meter.Count("tries", "verdict", step.Verdict)
 		case relay.Retried, relay.Resumed:
@@ -170,6 +172,20 @@
 		w.meter.Time("request_first_seconds", s.FirstEvent, "kind", kind)
 		w.meter.Time("request_seconds", s.Took, "kind", kind)
 	}
+	if s.LongestPause > 0 {
+		w.meter.Time("stream_longest_pause_seconds", s.LongestPause, "kind", kind)
+	}
+}
+
+// countPrompt counts where the prompt of a placed request was expected to be cached.
+func (w *Writer) countPrompt(step relay.Step) {
+	switch {
+	case !step.Cached:
+	case step.FetchFrom == "":
+		w.meter.Count("prompts", "cache", "expected")
+	default:
+		w.meter.Count("prompts", "cache", "fetched")
+	}
 }
 
 var _ Meter = (*telemetry.Meter)(nil)
--- a/jackdawd/internal/telemetry/meter.go
+++ b/jackdawd/internal/telemetry/meter.go
@@ -87,7 +87,10 @@
 
 // Time takes in how long something of a kind took.
 func (m *Meter) Time(name string, took time.Duration, labels ...string) {
-	m.timerOf(fullName(name, labels)).Update(took)
+	created := func() metrics.Histogram { return newBuckets() }
+	if h, ok := m.registry.GetOrRegister(fullName(name, labels), created).(metrics.Histogram); ok {
+		h.Update(int64(took))
+	}
 }
 
 func fullName(name string, labels []string) string {
@@ -111,10 +114,7 @@
 }
 
 func (m *Meter) timer(name, class string) metrics.Timer {
-	return m.timerOf(fullName(name, []string{"class", class}))
-}
-
-func (m *Meter) timerOf(full string) metrics.Timer {
+	full := fullName(name, []string{"class", class})
 	created := func() metrics.Timer {
 		return metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)), metrics.NewMeter())
 	}
@@ -161,6 +161,8 @@
 			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(v.Count()), values...)
 		case metrics.Gauge:
 			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(v.Value()), values...)
+		case *buckets:
+			out <- prometheus.MustNewConstHistogram(desc, uint64(v.Count()), time.Duration(v.Sum()).Seconds(), v.upTo(), values...)
 		case metrics.Timer:
 			out <- prometheus.MustNewConstSummary(desc, uint64(v.Count()), time.Duration(v.Sum()).Seconds(), quantiles(v), values...)
 		}
--- a/jackdawd/internal/telemetry/traces.go
+++ b/jackdawd/internal/telemetry/traces.go
@@ -20,18 +20,24 @@
 	if err := startLogs(s); err != nil {
 		return nil, err
 	}
+	return StartTraces(s.Name, s.Traces.Collector, s.Traces.Share)
+}
+
+// StartTraces sends a share of the host's traces to a collector, none if its address is
+// empty, and returns a function that sends the last ones off.
+func StartTraces(host, collector string, share float64) (stop func(context.Context) error, err error) {
 	otel.SetTextMapPropagator(propagation.TraceContext{})
-	if s.Traces.Collector == "" {
+	if collector == "" {
 		return func(context.Context) error { return nil }, nil
 	}
-	exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpoint(s.Traces.Collector), otlptracehttp.WithInsecure())
+	exporter, err := otlptracehttp.New(context.Background(), otlptracehttp.WithEndpoint(collector), otlptracehttp.WithInsecure())
 	if err != nil {
 		return nil, fmt.Errorf("set up traces: %w", err)
 	}
 	provider := trace.NewTracerProvider(
 		trace.WithBatcher(exporter),
-		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(s.Traces.Share))),
-		trace.WithResource(resource.NewSchemaless(attribute.String("service.name", "jackdawd"), attribute.String("host.name", s.Name))),
+		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(share))),
+		trace.WithResource(resource.NewSchemaless(attribute.String("service.name", "jackdawd"), attribute.String("host.name", host))),
 	)
 	otel.SetTracerProvider(provider)
 	return provider.Shutdown, nil
