--- a/capacity/internal/plan/slope.go
+++ b/capacity/internal/plan/slope.go
@@ -54,8 +54,11 @@
 	{"snapshot-time", "Snapshot/upstreams", "ns/op", false},
 	{"snapshot-bytes", "Snapshot/upstreams", "held-B", false},
 	{"warmth-bytes", "Warmth/prompts", "held-B/prompt", true},
-	{"follow-time", "Follow/loads", "ns/op", false},
-	{"follow-bytes", "Follow/loads", "bytes/call", false},
+	{"follow-time", "Follow/upstreams", "ns/op", false},
+	{"follow-bytes", "Follow/upstreams", "bytes/call", false},
+	{"loads-time", "Exchange/loads", "ns/op", false},
+	{"loads-bytes", "Exchange/loads", "bytes/call", false},
+	{"requests-bytes", "ExchangePools/pools", "bytes/call", false},
 }
 
 var line = regexp.MustCompile(`^Benchmark(\S+?)(?:-\d+)?\s+\d+\s+(.*)$`)
--- a/capacity/internal/plan/tables.go
+++ b/capacity/internal/plan/tables.go
@@ -221,6 +221,7 @@
 func milli(v float64) string     { return fmt.Sprintf("%.2g ms", v/1e6) }
 func percent(v float64) string   { return fmt.Sprintf("%.2f%%", 100*v) }
 func perSecond(v float64) string { return fmt.Sprintf("%.0f B/s", v) }
+func seconds(v float64) string   { return fmt.Sprintf("%.2g s", v) }
 func megabytes(v float64) string { return fmt.Sprintf("%.2g MB", v/(1<<20)) }
 
 // The marks between which the page's tables stand.
--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -102,7 +102,7 @@
 	debug.SetGCPercent(collectAt)
 	store := platform.NewStore(s.Store, meter)
 	host, err := entry.NewHost(entry.Options{
-		Name: s.Host, Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain, Near: s.Near,
+		Name: s.Host, Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain, Region: s.Region, Near: s.Near,
 		Protocol:       platform.Protocol{},
 		Configurations: platform.NewConfigurationFeed(store), Upstreams: platform.NewUpstreamFeed(store),
 		Peers: s.Peers, Strength: s.Strength, Board: platform.NewHostBoard(store), Decode: platform.DecodeConfiguration,
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -20,8 +20,7 @@
 	m.Gauge("out_of_touch_milliseconds", func() int64 { return h.keeper.OutOfTouch().Milliseconds() })
 	m.Gauge("fleet_bytes", h.source.Bytes)
 	m.Gauge("fleet_hosts", func() int64 {
-		hosts, _ := h.source.Directory().All()
-		return int64(len(hosts))
+		return int64(len(h.source.Directory().All()))
 	})
 	m.Gauge("reads_store", func() int64 {
 		if h.source.Following() == "" {
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -51,6 +51,7 @@
 	Readiness     string
 	Inner         string
 	FailureDomain string
+	Region        string
 	// Near reports whether a failure domain lies in this host's region.
 	Near           func(failureDomain string) bool
 	Protocol       Protocol
@@ -107,16 +108,13 @@
 	h := &Host{options: o, loads: placement.NewLoads(), idle: newIdleConns(), failed: make(chan error, 1)}
 	h.bounds.Store(&o.Bounds)
 	h.source = fleet.NewSource(fleet.Options{
-		Name: o.Name, FailureDomain: o.FailureDomain, Address: o.Peers, Strength: o.Strength, Board: o.Board,
+		Name: o.Name, FailureDomain: o.FailureDomain, Region: o.Region, Address: o.Peers, Strength: o.Strength, Board: o.Board,
 		Configurations: o.Configurations, Upstreams: o.Upstreams, Loads: h.loads, Uptime: uptime, Decode: o.Decode,
 	})
 	h.keeper = membership.NewKeeper(membership.Options{
 		Configurations: h.source.Configurations(), Upstreams: h.source.Upstreams(), Uptime: uptime, Bounds: o.Bounds.Bounds,
 	})
-	if err := h.source.Start(h.keeper); err != nil {
-		h.keeper.Close()
-		return nil, err
-	}
+	h.source.Start(h.keeper)
 	h.client = exchange.NewClient(o.Protocol, nil)
 	h.budgets = relay.NewBudgets(o.Bounds.RetryRatio)
 	h.handler = relay.NewHandler(relay.Options{
--- a/jackdawd/internal/fleet/directory.go
+++ b/jackdawd/internal/fleet/directory.go
@@ -1,46 +1,32 @@
 package fleet
 
 import (
-	"cmp"
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
-
-	"jackdawhinge/jackdawd/internal/routing"
 )
 
 const (
-	// readersBase and hostsPerReader give how many hosts read the store: two, so that
-	// one can fail, and one more for each so many hosts, which a small host can serve:
-	// 40 followers call 100 times a second, at 0.1 ms each a hundredth of a core.
-	readersBase    = 2
-	hostsPerReader = 40
 	// firstSuspicion is how long a host that did not answer is not asked; it doubles up
 	// to longestSuspicion.
 	firstSuspicion   = 2 * time.Second
 	longestSuspicion = time.Minute
+	// longestStale bounds it for a host that answers but has lost the store itself: it is
+	// back as soon as the store is.
+	longestStale = 4 * time.Second
 	// goneAfter is how long a host has not answered when its notice is removed. A host
 	// that lives writes another one.
 	goneAfter = 30 * time.Second
-	// strongShare is the part of the strongest host's strength from which hosts go
-	// before weaker ones as readers. A reader passes a changed configuration to tens of
-	// followers at once, which a link of 10 Mbit/s takes seconds for; meanwhile its own
-	// reads of the store fail.
-	strongShare = 0.5
-	// readersKey is what readers are ranked by.
-	readersKey = 0x72656164657273
 )
 
 // A Notice is what a host writes of itself for the others.
 type Notice struct {
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure-domain"`
+	Region        string `json:"region"`
 	// Secret is what callers must know to be answered.
 	Secret string `json:"secret"`
 	// Strength compares hosts: how much they can send and compute.
@@ -60,151 +46,125 @@
 	wait  time.Duration
 }
 
-// A Directory is the hosts that are known here.
+// A Directory is the hosts that are known here, as they stood on the board when it was read.
 type Directory struct {
-	self     Peer
-	mu       sync.Mutex
+	self Peer
+	mu   sync.Mutex
+	// board is what was read of the board so far, hosts the same and this host.
+	board    map[string]Notice
 	hosts    map[string]Notice
 	suspects map[string]suspicion
-	version  uint64
+	// ordered keeps the hosts of each failure domain of the region in their order.
+	ordered map[string][]Peer
 }
 
 // NewDirectory returns a directory that knows this host alone.
 func NewDirectory(self Peer) *Directory {
-	d := &Directory{self: self, hosts: map[string]Notice{self.Name: self.Notice}, suspects: map[string]suspicion{}}
-	d.version = d.fingerprint()
+	d := &Directory{
+		self: self, board: map[string]Notice{}, hosts: map[string]Notice{self.Name: self.Notice},
+		suspects: map[string]suspicion{},
+	}
+	d.changed()
 	return d
 }
 
 // Self returns this host.
-func (d *Directory) Self() Peer { return d.self }
+func (d *Directory) Self() Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.self
+}
 
 // Take takes in notices as they are written, nil where one was removed; whole is
 // set if they are all that there are. It reports whether this host's own is missing.
 func (d *Directory) Take(notices map[string][]byte, whole bool) (missing bool) {
-	decoded := map[string]*Notice{}
-	for name, text := range notices {
-		if text == nil {
-			decoded[name] = nil
-			continue
-		}
-		var n Notice
-		if err := json.Unmarshal(text, &n); err != nil {
-			logrus.WithError(err).WithField("peer", name).Warn("fleet: A host's notice cannot be read.")
-			continue
-		}
-		decoded[name] = &n
-	}
+	decoded := decodeNotices(notices)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if whole {
-		clear(d.hosts)
+		clear(d.board)
 	}
 	for name, n := range decoded {
 		if n == nil {
-			delete(d.hosts, name)
+			delete(d.board, name)
 			delete(d.suspects, name)
 			continue
 		}
-		if d.hosts[name] != *n {
+		if d.board[name] != *n {
 			// Another process answers there now.
 			delete(d.suspects, name)
 		}
-		d.hosts[name] = *n
+		d.board[name] = *n
 	}
-	missing = d.hosts[d.self.Name] != d.self.Notice
+	missing = d.board[d.self.Name] != d.self.Notice
+	d.hosts = maps.Clone(d.board)
 	d.hosts[d.self.Name] = d.self.Notice
-	d.version = d.fingerprint()
+	d.changed()
 	return missing
 }
 
-// Replace takes in all hosts that another host knows.
-func (d *Directory) Replace(hosts map[string]Notice) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.hosts = maps.Clone(hosts)
-	d.hosts[d.self.Name] = d.self.Notice
-	d.version = d.fingerprint()
+func decodeNotices(notices map[string][]byte) map[string]*Notice {
+	decoded := map[string]*Notice{}
+	for name, text := range notices {
+		if text == nil {
+			decoded[name] = nil
+			continue
+		}
+		var n Notice
+		if err := json.Unmarshal(text, &n); err != nil {
+			logrus.WithError(err).WithField("peer", name).Warn("fleet: A host's notice cannot be read.")
+			continue
+		}
+		decoded[name] = &n
+	}
+	return decoded
 }
 
-// All returns the hosts known and the version of the list.
-func (d *Directory) All() (hosts map[string]Notice, version uint64) {
+// Adopt makes this host go by the notice that an earlier process of it wrote, if only the
+// secret differs, and reports whether it did. Others then need not learn of a restart:
+// those who knew the earlier process reach this one.
+func (d *Directory) Adopt(earlier Notice) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return maps.Clone(d.hosts), d.version
+	own := d.self.Notice
+	own.Secret = earlier.Secret
+	if earlier.Secret == "" || own != earlier {
+		return false
+	}
+	d.self.Notice = own
+	d.hosts[d.self.Name] = own
+	d.changed()
+	return true
 }
 
-// Version returns the version of the list; equal lists have equal versions.
-func (d *Directory) Version() uint64 {
+// Large reports whether there are so many hosts that they must not all read the store at once.
+func (d *Directory) Large() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.version
+	return len(d.board) >= largeFleet
 }
 
-// Readers returns the hosts that should read the store, this one's failure domain
-// first, and whether this host is one of them.
-func (d *Directory) Readers(now time.Time) (others []Peer, self bool) {
+// All returns the hosts known.
+func (d *Directory) All() map[string]Notice {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ranked := d.ranked(now)
-	ranked = ranked[:min(len(ranked), readersBase+len(d.hosts)/hostsPerReader)]
-	for _, p := range ranked {
-		if p.Name == d.self.Name {
-			self = true
-			continue
-		}
-		others = append(others, p)
-	}
-	slices.SortStableFunc(others, func(a, b Peer) int {
-		return cmp.Compare(d.distance(a), d.distance(b))
-	})
-	return others, self
+	return maps.Clone(d.hosts)
 }
 
-// distance is 0 for hosts of the same failure domain.
-func (d *Directory) distance(p Peer) int {
-	if p.FailureDomain == d.self.FailureDomain {
-		return 0
-	}
-	return 1
-}
-
-// ranked returns the hosts that are not suspected, strong ones first, by rendezvous hashing; the lock must be held.
-func (d *Directory) ranked(now time.Time) []Peer {
-	peers := make([]Peer, 0, len(d.hosts))
-	for name, n := range d.hosts {
-		if s, ok := d.suspects[name]; !ok || !now.Before(s.until) {
-			peers = append(peers, Peer{Name: name, Notice: n})
-		}
-	}
-	strongest := 0.0
-	for _, p := range peers {
-		strongest = max(strongest, p.Strength)
-	}
-	weak := func(p Peer) int {
-		if p.Strength < strongShare*strongest {
-			return 1
-		}
-		return 0
-	}
-	slices.SortFunc(peers, func(a, b Peer) int {
-		if c := cmp.Compare(weak(a), weak(b)); c != 0 {
-			return c
-		}
-		return cmp.Compare(routing.Score(readersKey, routing.HashOf(b.Name)), routing.Score(readersKey, routing.HashOf(a.Name)))
-	})
-	return peers
-}
-
-// Suspect takes in that a host did not answer, and reports whether it has not for so long that it must be gone.
-func (d *Directory) Suspect(now time.Time, name string) (gone bool) {
+// Suspect takes in that a host did not answer, or answers but has lost the store; it
+// reports whether the host has not answered for so long that it must be gone.
+func (d *Directory) Suspect(now time.Time, name string, stale bool) (gone bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s, ok := d.suspects[name]
-	if !ok {
-		s = suspicion{since: now}
+	if !ok || stale {
+		s.since = now
+	}
+	longest := longestSuspicion
+	if stale {
+		longest = longestStale
 	}
-	s.wait = min(max(2*s.wait, firstSuspicion), longestSuspicion)
+	s.wait = min(max(2*s.wait, firstSuspicion), longest)
 	s.until = now.Add(s.wait)
 	d.suspects[name] = s
 	return now.Sub(s.since) > goneAfter
@@ -217,12 +177,7 @@
 	delete(d.suspects, name)
 }
 
-// fingerprint returns a hash of the list; the lock must be held.
-func (d *Directory) fingerprint() uint64 {
-	h := fnv.New64a()
-	for _, name := range slices.Sorted(maps.Keys(d.hosts)) {
-		// A hash never fails to be written to.
-		_, _ = fmt.Fprintln(h, name, d.hosts[name].Address, d.hosts[name].Secret)
-	}
-	return h.Sum64()
+// changed takes note of other hosts; the lock must be held.
+func (d *Directory) changed() {
+	d.ordered = d.order()
 }
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"jackdawhinge/common/traffic"
@@ -9,42 +11,63 @@
 	"jackdawhinge/jackdawd/internal/placement"
 )
 
-// followCall is the name of the call that a follower makes.
+// The names of the calls.
 const (
-	serviceName = "Fleet"
-	followCall  = serviceName + ".Follow"
+	serviceName  = "Fleet"
+	followCall   = serviceName + ".Follow"
+	exchangeCall = serviceName + ".Exchange"
 )
 
 // FollowArgs say how far a follower is.
 type FollowArgs struct {
-	Host string
 	// Version is the configuration that the follower has; Position how far it has followed the upstreams.
 	Version  int64
 	Position membership.Position
-	// Hosts is the version of the follower's list of hosts.
-	Hosts uint64
-	// Wait is how long to wait for a change.
-	Wait time.Duration
-	// Loads are what upstreams have told the follower itself since its last call, which
-	// was so long ago as Since says.
-	Loads Loads
-	Since time.Duration
+	// Whole asks for all upstreams, wherever the follower is.
+	Whole bool
+	// Heard is what the last reply said of when the list of upstreams was heard.
+	Heard time.Duration
+	// Wait is how long to wait for something new, and Oldest how old the list of upstreams
+	// may become meanwhile: a host that has lost the store says so as soon as it is older.
+	Wait   time.Duration
+	Oldest time.Duration
 }
 
 // FollowReply is what a follower has missed.
 type FollowReply struct {
-	// Behind is how old the reader's configuration may have been when it replied.
+	// Waited is how long the call was held: the answer was given so long after the call was
+	// sent at least. Without it each step down the tree would add the time of waiting to ages.
+	Waited time.Duration
+	// Behind is how old the configuration of the host that replies may have been.
 	Behind time.Duration
-	// ListBehind is how old its list of upstreams may have been.
+	// ListBehind is how old its list of upstreams may have been, Heard the moment up to
+	// which it knew the list, on its own clock.
 	ListBehind time.Duration
+	Heard      time.Duration
 	// Document is the configuration, packed; empty if the follower has it.
 	Document []byte
 	Position membership.Position
-	Whole    bool
-	Entries  []traffic.UpstreamEntry
-	// Hosts is the list of hosts, empty if the follower has it.
-	Hosts map[string]Notice
+	// Listed are all upstreams, packed, if the follower has missed too much; Entries what has changed else.
+	Listed  []byte
+	Entries []traffic.UpstreamEntry
+}
+
+// ExchangeArgs are what a host and those below it know of loads.
+type ExchangeArgs struct {
+	Host string
+	// Loads are what upstreams have told since the last exchange.
 	Loads Loads
+	// Requests are those in progress at the host and those below it.
+	Requests Requests
+}
+
+// ExchangeReply is what the hosts above know of loads.
+type ExchangeReply struct {
+	Loads Loads
+	// Requests are those in progress at all hosts of the region; empty if not known.
+	Requests Requests
+	// Pause is the time until the next exchange, by what the host above may spend.
+	Pause time.Duration
 }
 
 // Loads are loads of upstreams, packed: for each four bytes of the upstream's hash,
@@ -83,3 +106,32 @@
 	}
 	return out
 }
+
+// Requests are numbers of requests in progress by pool, packed: for each four bytes of
+// the pool's hash and three of requests.
+type Requests []byte
+
+const (
+	requestsBytes = 7
+	mostRequests  = 1<<24 - 1
+)
+
+func packRequests(byPool map[uint32]int) Requests {
+	out := make(Requests, 0, len(byPool)*requestsBytes)
+	for _, pool := range slices.Sorted(maps.Keys(byPool)) {
+		out = binary.LittleEndian.AppendUint32(out, pool)
+		n := min(max(byPool[pool], 0), mostRequests)
+		out = append(out, byte(n), byte(n>>8), byte(n>>16))
+	}
+	return out
+}
+
+// unpack returns the numbers; a cut one at the end is left out.
+func (r Requests) unpack() map[uint32]int {
+	byPool := map[uint32]int{}
+	for len(r) >= requestsBytes {
+		byPool[binary.LittleEndian.Uint32(r)] = int(r[4]) | int(r[5])<<8 | int(r[6])<<16
+		r = r[requestsBytes:]
+	}
+	return byPool
+}
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -3,19 +3,16 @@
 import (
 	"time"
 
+	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/membership"
 )
 
 const (
 	// mostWait bounds how long a follower may have its call held.
 	mostWait = time.Second
-	// mostLoads bounds the loads of one answer to 1.4 KB, or 3.4 KB/s for a follower.
-	mostLoads = 230
-	// overlap is added to the time since a follower's last call, so that what was told
-	// while that call was answered is not missed.
-	overlap = 100 * time.Millisecond
-	// mostSince is how old a load may be to say something.
-	mostSince = 2 * time.Second
+	// refreshStep is how much later a list must have been heard to count as heard anew;
+	// two calls on the way from one reading differ by less.
+	refreshStep = 100 * time.Millisecond
 )
 
 // Beliefs is what a host knows.
@@ -24,55 +21,97 @@
 	Age() time.Duration
 }
 
-// service answers followers.
+// service answers the hosts that follow this one.
 type service struct {
+	source    *Source
 	beliefs   Beliefs
-	listAge   func() time.Duration
-	directory *Directory
-	loads     LoadTable
-	packer    packer
+	documents packer[int64]
+	lists     packer[membership.Position]
 }
 
-// Follow returns what the follower has missed; it waits for a change if there is none.
+// Follow returns what the follower has missed; it waits for something new if there is
+// nothing. That the list of upstreams was read again and is the same is news too: the
+// follower's knowledge is then as young as this host's.
 func (s *service) Follow(args *FollowArgs, reply *FollowReply) error {
-	timer := time.NewTimer(min(args.Wait, mostWait))
+	began := s.source.options.Uptime()
+	timer := time.NewTimer(min(args.Wait, mostWait, max(args.Oldest-s.source.ListAge(), 0)))
 	defer timer.Stop()
-	now := time.Now()
-	s.loads.Merge(args.Loads.unpack(now))
-	changes := s.beliefs.Changes()
-	for waiting := true; waiting && !s.news(args, changes); changes = s.beliefs.Changes() {
+	for waiting := true; waiting; {
+		refreshed, changes := s.source.refreshed.raised(), s.beliefs.Changes()
+		if s.news(args, changes) {
+			break
+		}
 		select {
 		case <-changes.Superseded():
+		case <-refreshed:
 		case <-timer.C:
 			waiting = false
 		}
 	}
-	return s.fill(args, reply, changes)
+	reply.Waited = s.source.options.Uptime() - began
+	return s.fill(args, reply)
 }
 
 // news reports whether there is something that the follower does not know.
 func (s *service) news(args *FollowArgs, c *membership.Changes) bool {
-	newer := c.Configuration() != nil && c.Configuration().Version() > args.Version
-	return newer || c.End() != args.Position
+	if c.Configuration() == nil || s.source.ListAge() >= neverListed {
+		// This host has just started and does not know everything itself.
+		return false
+	}
+	since := time.Duration(s.source.listHeard.Load()) - args.Heard
+	return c.Configuration().Version() > args.Version || c.End() != args.Position || since < 0 || since >= refreshStep
 }
 
-func (s *service) fill(args *FollowArgs, reply *FollowReply, c *membership.Changes) error {
-	// The age is taken after the changes: what the host heard in between is in them or
-	// makes them older, never newer than is said.
-	if conf := c.Configuration(); conf != nil && conf.Version() > args.Version {
-		packed, err := s.packer.pack(conf.Version(), conf.Document())
-		if err != nil {
-			return err
-		}
-		reply.Document = packed
+func (s *service) fill(args *FollowArgs, reply *FollowReply) error {
+	// The ages are taken before what they are ages of, so that none is said to be newer
+	// than it is.
+	reply.Behind, reply.ListBehind = s.beliefs.Age(), s.source.ListAge()
+	reply.Heard = time.Duration(s.source.listHeard.Load())
+	changes := s.beliefs.Changes()
+	if err := s.fillDocument(args, reply, changes); err != nil {
+		return err
 	}
-	change := c.Since(args.Position)
-	reply.Whole, reply.Entries, reply.Position = change.Whole, change.Entries, c.End()
-	if hosts, version := s.directory.All(); version != args.Hosts {
-		reply.Hosts = hosts
+	from := args.Position
+	if args.Whole {
+		from = membership.Position{}
 	}
+	change := changes.Since(from)
+	reply.Position = changes.End()
+	return s.fillEntries(reply, change)
+}
+
+func (s *service) fillDocument(args *FollowArgs, reply *FollowReply, c *membership.Changes) error {
+	conf := c.Configuration()
+	if conf == nil {
+		reply.Behind = neverListed
+		return nil
+	}
+	if conf.Version() <= args.Version {
+		return nil
+	}
+	var err error
+	reply.Document, err = s.documents.pack(conf.Version(), func() ([]byte, error) { return conf.Document(), nil })
+	return err
+}
+
+func (s *service) fillEntries(reply *FollowReply, change traffic.UpstreamChange) error {
+	if !change.Whole {
+		reply.Entries = change.Entries
+		return nil
+	}
+	var err error
+	reply.Listed, err = packUpstreams(&s.lists, reply.Position, change.Entries)
+	return err
+}
+
+// Exchange takes in what the hosts below know of loads, and returns what those above do.
+func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
 	now := time.Now()
-	reply.Loads = packLoads(now, s.loads.Newest(now, min(args.Since, mostSince)+overlap, mostLoads))
-	reply.Behind, reply.ListBehind = s.beliefs.Age(), s.listAge()
+	s.source.options.Loads.Merge(args.Loads.unpack(now), false)
+	s.source.tally.take(now, args.Host, args.Requests.unpack())
+	reply.Loads = packLoads(now, s.source.options.Loads.Newest(now, mostSince, mostLoads, true))
+	reply.Requests = packRequests(s.source.tally.region(now))
+	bytes := exchangeBytes + len(args.Loads) + len(args.Requests) + len(reply.Loads) + len(reply.Requests)
+	reply.Pause = paceOf(bytes, s.source.tally.neighbors())
 	return nil
 }
--- a/jackdawd/internal/membership/beliefs.go
+++ b/jackdawd/internal/membership/beliefs.go
@@ -78,6 +78,7 @@
 	if _, lapsing := b.lapsing[u.ID]; lapsing && u.Sequence == b.sequences[u.ID] {
 		return false
 	}
+	_, back := b.lapsing[u.ID]
 	delete(b.lapsing, u.ID)
 	b.sequences[u.ID] = u.Sequence
 	b.listed[u.ID] = u
@@ -86,7 +87,11 @@
 	}
 	old.Sequence = u.Sequence
 	if known && reflect.DeepEqual(old, u) {
-		return false
+		if back {
+			// A host that follows this one may have given the upstream up meanwhile.
+			b.log.add(traffic.Listed(u))
+		}
+		return back
 	}
 	b.log.add(traffic.Listed(u))
 	logrus.WithFields(logrus.Fields{"upstream": u.ID, "pool": u.Pool, "state": u.State}).Info("membership: An upstream's entry changed.")
--- a/jackdawd/internal/membership/changes_test.go
+++ b/jackdawd/internal/membership/changes_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"runtime"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -75,3 +77,30 @@
 		})
 	}
 }
+
+// An upstream's entry lapses and comes back before it is given up here. A host that
+// follows this one may have given it up and must hear that it is back.
+func TestUpstreamThatIsBackIsTold(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *atomic.Int64) {
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{{Whole: true, Entries: []traffic.UpstreamEntry{listed("a", 1, traffic.Ready)}}}
+		})
+		time.Sleep(2 * time.Second)
+		before := k.Changes().End()
+		s.set(func(s *source) { s.away = true })
+		time.Sleep(5 * time.Second)
+		s.set(func(s *source) {
+			s.away = false
+			s.changes = []traffic.UpstreamChange{
+				{Whole: true, Entries: []traffic.UpstreamEntry{}},
+				{Entries: []traffic.UpstreamEntry{listed("a", 2, traffic.Ready)}},
+			}
+		})
+		time.Sleep(4 * time.Second)
+		require.Equal(t, []string{"a"}, ids(k.Snapshot().Upstreams("reader")))
+		missed := k.Changes().Since(before)
+		require.False(t, missed.Whole)
+		require.Len(t, missed.Entries, 1)
+		require.Equal(t, int64(2), missed.Entries[0].Upstream.Sequence)
+	})
+}
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -13,10 +14,19 @@
 // other hosts' requests: about the time that an answer takes.
 const toldLifetime = 2 * time.Second
 
+// regionLifetime is how long the numbers of the whole region say something: they come
+// each second at least.
+const regionLifetime = 3 * time.Second
+
 // Loads holds how many requests each upstream works on, as far as this host knows.
 type Loads struct {
 	mu     sync.Mutex
 	byHash map[uint32]*load
+	// requests are this host's own in progress by pool, region those of all hosts of its
+	// region as they were at regionAt.
+	requests map[uint32]int
+	region   map[uint32]int
+	regionAt time.Time
 }
 
 // Told is what an upstream said of its requests, here or at another host.
@@ -40,30 +50,30 @@
 	others float64
 	told   int
 	toldAt time.Time
-	// toldHere is set while what was told is this host's own and not yet passed on.
-	toldHere bool
-	usedAt   time.Time
+	// fromAbove is set if what was told came from the host that this one exchanges loads with.
+	fromAbove bool
+	usedAt    time.Time
 }
 
 // NewLoads returns loads of nothing.
 func NewLoads() *Loads {
-	return &Loads{byHash: map[uint32]*load{}}
+	return &Loads{byHash: map[uint32]*load{}, requests: map[uint32]int{}}
 }
 
 // Begin counts a request of this host.
 func (l *Loads) Begin(now time.Time, u *traffic.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entry(now, shortHash(u))
-	e.own++
+	l.entry(now, shortHash(u)).own++
+	l.requests[PoolHash(u.Pool)]++
 }
 
 // End counts a request of this host no longer.
 func (l *Loads) End(now time.Time, u *traffic.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entry(now, shortHash(u))
-	e.own--
+	l.entry(now, shortHash(u)).own--
+	l.requests[PoolHash(u.Pool)]--
 }
 
 // Told takes in what an upstream said in an answer to this host.
@@ -71,49 +81,35 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entry(now, shortHash(u))
-	e.take(Told{Requests: told.Running + told.Waiting, At: now})
-	e.toldHere = true
+	e.take(Told{Requests: told.Running + told.Waiting, At: now}, false)
 }
 
 // take takes in what an upstream told.
-func (e *load) take(t Told) {
+func (e *load) take(t Told, fromAbove bool) {
 	e.others = max(0, float64(t.Requests-e.own))
-	e.told, e.toldAt, e.toldHere = t.Requests, t.At, false
+	e.told, e.toldAt, e.fromAbove = t.Requests, t.At, fromAbove
 }
 
-// Merge takes in what upstreams told other hosts, where it is newer.
-func (l *Loads) Merge(told []Told) {
+// Merge takes in what upstreams told other hosts, where it is newer; above is set if it
+// came from the host that this one exchanges loads with.
+func (l *Loads) Merge(told []Told, above bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, t := range told {
 		if e := l.entry(t.At, t.Upstream); t.At.After(e.toldAt) {
-			e.take(t)
-		}
-	}
-}
-
-// TakeOwn returns what upstreams told this host itself since the last call.
-func (l *Loads) TakeOwn() []Told {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []Told
-	for hash, e := range l.byHash {
-		if e.toldHere {
-			out = append(out, Told{Upstream: hash, Requests: e.told, At: e.toldAt})
-			e.toldHere = false
+			e.take(t, above)
 		}
 	}
-	return out
 }
 
 // Newest returns what upstreams told any host within a time, the most loaded ones
 // if there are more than the most given: a full upstream that is taken for empty
-// does more harm than the reverse.
-func (l *Loads) Newest(now time.Time, within time.Duration, most int) []Told {
+// does more harm than the reverse. What came from above is left out unless it is asked for.
+func (l *Loads) Newest(now time.Time, within time.Duration, most int, above bool) []Told {
 	l.mu.Lock()
 	var out []Told
 	for hash, e := range l.byHash {
-		if now.Sub(e.toldAt) < within {
+		if now.Sub(e.toldAt) < within && (above || !e.fromAbove) {
 			out = append(out, Told{Upstream: hash, Requests: e.told, At: e.toldAt})
 		}
 	}
@@ -125,6 +121,34 @@
 	return out
 }
 
+// PoolHash returns by what hosts name a pool to each other.
+func PoolHash(pool string) uint32 { return uint32(traffic.HashOf(pool)) }
+
+// Requests returns this host's own requests in progress by the hash of their pool.
+func (l *Loads) Requests() map[uint32]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.requests)
+}
+
+// SetRegion takes in the requests in progress at all hosts of the region, by the hash of their pool.
+func (l *Loads) SetRegion(now time.Time, byPool map[uint32]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.region, l.regionAt = byPool, now
+}
+
+// Region returns the requests in progress to a pool at all hosts of the region, or false if they are not known.
+func (l *Loads) Region(now time.Time, pool string) (requests int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.regionAt) > regionLifetime {
+		return 0, false
+	}
+	requests, ok = l.region[PoolHash(pool)]
+	return requests, ok
+}
+
 // Own returns how many requests of this host an upstream has.
 func (l *Loads) Own(u *traffic.Upstream) int {
 	l.mu.Lock()
