--- a/capacity/internal/plan/platform.go
+++ b/capacity/internal/plan/platform.go
@@ -14,8 +14,7 @@
 	followsASecond = 1.33
 	// packetBytes is what the headers of TCP and IP take of a call: two packets and their acknowledgements.
 	packetBytes    = 208
-	mostLoads      = 24
-	measuredPools  = 23
+	mostLoads      = 32
 	exchangeBudget = 2850
 	leastPause     = 0.3
 	// entryBytes is what an upstream writes of itself into the store, each entryEvery seconds.
@@ -43,8 +42,7 @@
 
 // loadsBytes returns the bytes of an exchange of loads.
 func (m model) loadsBytes(s size) float64 {
-	told := m.at("loads-bytes", math.Min(s.upstreams, mostLoads))
-	return told - (measuredPools-s.pools)*m.perOne("requests-bytes") + packetBytes
+	return m.at("loads-bytes", math.Min(s.upstreams, mostLoads)) + packetBytes
 }
 
 // linked returns the bytes a second of two hosts that tell each other, one of which has so many neighbors.
@@ -82,7 +80,7 @@
 		{"control", "steps from one to the last host", "a tree, 4 below each", number, size.steps},
 		{"control", "calls to the store, all hosts", "readers alone", number, func(s size) float64 { return s.readers() * readerReads }},
 		{"control", "calls to the store, if each host read it", "(not so)", number, func(s size) float64 { return s.nodes * readerReads }},
-		{"control", "between two exchanges of loads", "by budget, 24 loads at most", seconds, func(s size) float64 { return math.Max(leastPause, (fanOut+1)*m.loadsBytes(s)/exchangeBudget) }},
+		{"control", "between two exchanges of loads", "by budget, 32 loads at most", seconds, func(s size) float64 { return math.Max(leastPause, (fanOut+1)*m.loadsBytes(s)/exchangeBudget) }},
 		{"host that none follows", "bytes, both ways, headers included", "net/rpc, what has changed", perSecond, m.below},
 		{"host that others follow", "bytes, both ways, headers included", "the same, five times", perSecond, m.above},
 		{"host that others follow", "share of a core", "", percent, func(s size) float64 { return m.hostCPU(s, fanOut+1) }},
--- a/capacity/internal/plan/slope.go
+++ b/capacity/internal/plan/slope.go
@@ -58,7 +58,6 @@
 	{"follow-bytes", "Follow/upstreams", "bytes/call", false},
 	{"loads-time", "Exchange/loads", "ns/op", false},
 	{"loads-bytes", "Exchange/loads", "bytes/call", false},
-	{"requests-bytes", "ExchangePools/pools", "bytes/call", false},
 }
 
 var line = regexp.MustCompile(`^Benchmark(\S+?)(?:-\d+)?\s+\d+\s+(.*)$`)
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -61,7 +61,9 @@
 	Peers string
 	// Strength compares this host with others.
 	Strength float64
-	Board    fleet.Board
+	// FirstStart is set while the whole system starts for the first time.
+	FirstStart bool
+	Board      fleet.Board
 	// Decode reads a configuration that another host passes on.
 	Decode func(document []byte) (*traffic.Configuration, error)
 	Bounds Bounds
@@ -108,7 +110,7 @@
 	h := &Host{options: o, loads: placement.NewLoads(), idle: newIdleConns(), failed: make(chan error, 1)}
 	h.bounds.Store(&o.Bounds)
 	h.source = fleet.NewSource(fleet.Options{
-		Name: o.Name, FailureDomain: o.FailureDomain, Region: o.Region, Address: o.Peers, Strength: o.Strength, Board: o.Board,
+		Name: o.Name, FailureDomain: o.FailureDomain, Region: o.Region, Address: o.Peers, Strength: o.Strength, FirstStart: o.FirstStart, Board: o.Board,
 		Configurations: o.Configurations, Upstreams: o.Upstreams, Loads: h.loads, Uptime: uptime, Decode: o.Decode,
 	})
 	h.keeper = membership.NewKeeper(membership.Options{
--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -13,7 +12,7 @@
 const (
 	// mostLoads bounds the loads of one message; the most loaded upstreams go first, as
 	// those are what a host must know of to keep below the load multiple.
-	mostLoads = 24
+	mostLoads = 32
 	// overlap is added to the time since the last exchange, so that what was told while
 	// that was on its way is not missed.
 	overlap = 100 * time.Millisecond
@@ -26,14 +25,16 @@
 	// the tree, in bytes a second. With up to five of them, whose calls that follow beliefs
 	// take 450 bytes a second each, a host keeps below 5 KB a second.
 	exchangeBudget = 2850
-	// exchangeBytes is what a call and its answer carry beside loads and numbers, headers
+	// exchangeBytes is what a call and its answer carry beside loads, headers
 	// of TCP and IP included.
 	exchangeBytes = 300
 	// exchangeTimeout is how long an exchange may take.
 	exchangeTimeout = 300 * time.Millisecond
-	// tallyLifetime is how long the numbers of a host count: twice the time between two
-	// exchanges with all that they may carry, 1.5 s, so that one may be lost.
-	tallyLifetime = 3 * time.Second
+	// longestPause is the longest time between two exchanges: a load that is older says
+	// nothing any more.
+	longestPause = 1500 * time.Millisecond
+	// neighborLifetime is after how long a host that was not heard of is no neighbor any more.
+	neighborLifetime = 2 * longestPause
 )
 
 // A LoadTable holds what is known of loads.
@@ -43,77 +44,33 @@
 	Newest(now time.Time, within time.Duration, most int, above bool) []placement.Told
 	// Merge takes in what upstreams told other hosts; above is set if it came from the host above.
 	Merge(told []placement.Told, above bool)
-	// Requests returns this host's own requests in progress by the hash of their pool.
-	Requests() map[uint32]int
-	// SetRegion takes in the requests in progress at all hosts of the region.
-	SetRegion(now time.Time, byPool map[uint32]int)
 }
 
-// tally adds up the requests in progress of this host and those below it.
-type tally struct {
-	own func() map[uint32]int
-	mu  sync.Mutex
-	// below is by host, all what the host above says of the whole region.
-	below map[string]counted
-	all   counted
+// neighbors are the hosts that exchange loads with this one, by when they did last.
+type neighbors struct {
+	mu   sync.Mutex
+	last map[string]time.Time
 }
 
-// counted is requests in progress by pool, as they were at a moment.
-type counted struct {
-	byPool map[uint32]int
-	at     time.Time
-}
-
-func newTally(own func() map[uint32]int) *tally {
-	return &tally{own: own, below: map[string]counted{}}
-}
-
-// take takes in the numbers of a host below.
-func (t *tally) take(now time.Time, host string, byPool map[uint32]int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.below[host] = counted{byPool, now}
-}
-
-// neighbors returns how many hosts this one exchanges loads with, one above included.
-func (t *tally) neighbors() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.below) + 1
-}
-
-// setRegion takes in the numbers of the whole region.
-func (t *tally) setRegion(now time.Time, byPool map[uint32]int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.all = counted{byPool, now}
-}
+func newNeighbors() *neighbors { return &neighbors{last: map[string]time.Time{}} }
 
-// region returns the numbers of the whole region, or none if they are not known.
-func (t *tally) region(now time.Time) map[uint32]int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if now.Sub(t.all.at) > tallyLifetime {
-		return nil
-	}
-	return t.all.byPool
+// met takes in that a host below has exchanged loads.
+func (n *neighbors) met(now time.Time, host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.last[host] = now
 }
 
-// sum returns the numbers of this host and those below.
-func (t *tally) sum(now time.Time) map[uint32]int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	sum := maps.Clone(t.own())
-	for host, c := range t.below {
-		if now.Sub(c.at) > tallyLifetime {
-			delete(t.below, host)
-			continue
-		}
-		for pool, n := range c.byPool {
-			sum[pool] += n
+// count returns how many there are, the one above included.
+func (n *neighbors) count(now time.Time) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for host, at := range n.last {
+		if now.Sub(at) > neighborLifetime {
+			delete(n.last, host)
 		}
 	}
-	return sum
+	return len(n.last) + 1
 }
 
 // exchangeLoads exchanges loads with the host above until the context ends.
@@ -124,16 +81,11 @@
 		next := leastPause
 		if parent, ok := s.directory.LoadParent(now); ok {
 			args := ExchangeArgs{
-				Host:     s.options.Name,
-				Loads:    packLoads(now, s.options.Loads.Newest(now, min(now.Sub(last)+overlap, mostSince), mostLoads, false)),
-				Requests: packRequests(s.tally.sum(now)),
+				Host:  s.options.Name,
+				Loads: packLoads(now, s.options.Loads.Newest(now, min(now.Sub(last)+overlap, mostSince), mostLoads, false)),
 			}
 			last = now
 			next = s.exchange(ctx, parent, args)
-		} else {
-			sum := s.tally.sum(now)
-			s.tally.setRegion(now, sum)
-			s.options.Loads.SetRegion(now, sum)
 		}
 		pause.For(ctx, next)
 	}
@@ -152,14 +104,8 @@
 		}
 		return exchangeTimeout
 	}
-	now := time.Now()
-	s.options.Loads.Merge(reply.Loads.unpack(now), true)
-	if len(reply.Requests) > 0 {
-		byPool := reply.Requests.unpack()
-		s.tally.setRegion(now, byPool)
-		s.options.Loads.SetRegion(now, byPool)
-	}
-	return min(max(leastPause, reply.Pause), tallyLifetime/2)
+	s.options.Loads.Merge(reply.Loads.unpack(time.Now()), true)
+	return min(max(leastPause, reply.Pause), longestPause)
 }
 
 // paceOf returns the time until the next exchange after one that carried so much, for a
--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -141,9 +141,11 @@
 	return s.directory.Parent(time.Now())
 }
 
-// patient reports whether the host has just started, in a large fleet, and waits for others to tell it the upstreams.
+// patient reports whether the host has just started, in a large fleet or with all others
+// for the first time, and waits for others to tell it the upstreams.
 func (s *Source) patient() bool {
-	return s.ListAge() >= neverListed && s.directory.Large() && time.Now().Before(s.patientUntil)
+	crowded := s.options.FirstStart || s.directory.Large()
+	return crowded && s.ListAge() >= neverListed && time.Now().Before(s.patientUntil)
 }
 
 // resting reports whether the store was found away lately.
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/binary"
-	"maps"
-	"slices"
 	"time"
 
 	"jackdawhinge/common/traffic"
@@ -57,15 +55,11 @@
 	Host string
 	// Loads are what upstreams have told since the last exchange.
 	Loads Loads
-	// Requests are those in progress at the host and those below it.
-	Requests Requests
 }
 
 // ExchangeReply is what the hosts above know of loads.
 type ExchangeReply struct {
 	Loads Loads
-	// Requests are those in progress at all hosts of the region; empty if not known.
-	Requests Requests
 	// Pause is the time until the next exchange, by what the host above may spend.
 	Pause time.Duration
 }
@@ -106,32 +100,3 @@
 	}
 	return out
 }
-
-// Requests are numbers of requests in progress by pool, packed: for each four bytes of
-// the pool's hash and three of requests.
-type Requests []byte
-
-const (
-	requestsBytes = 7
-	mostRequests  = 1<<24 - 1
-)
-
-func packRequests(byPool map[uint32]int) Requests {
-	out := make(Requests, 0, len(byPool)*requestsBytes)
-	for _, pool := range slices.Sorted(maps.Keys(byPool)) {
-		out = binary.LittleEndian.AppendUint32(out, pool)
-		n := min(max(byPool[pool], 0), mostRequests)
-		out = append(out, byte(n), byte(n>>8), byte(n>>16))
-	}
-	return out
-}
-
-// unpack returns the numbers; a cut one at the end is left out.
-func (r Requests) unpack() map[uint32]int {
-	byPool := map[uint32]int{}
-	for len(r) >= requestsBytes {
-		byPool[binary.LittleEndian.Uint32(r)] = int(r[4]) | int(r[5])<<8 | int(r[6])<<16
-		r = r[requestsBytes:]
-	}
-	return byPool
-}
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -108,10 +108,8 @@
 func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
 	now := time.Now()
 	s.source.options.Loads.Merge(args.Loads.unpack(now), false)
-	s.source.tally.take(now, args.Host, args.Requests.unpack())
+	s.source.neighbors.met(now, args.Host)
 	reply.Loads = packLoads(now, s.source.options.Loads.Newest(now, mostSince, mostLoads, true))
-	reply.Requests = packRequests(s.source.tally.region(now))
-	bytes := exchangeBytes + len(args.Loads) + len(args.Requests) + len(reply.Loads) + len(reply.Requests)
-	reply.Pause = paceOf(bytes, s.source.tally.neighbors())
+	reply.Pause = paceOf(exchangeBytes+len(args.Loads)+len(reply.Loads), s.source.neighbors.count(now))
 	return nil
 }
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -62,6 +62,9 @@
 	Region        string
 	// Strength compares this host with others.
 	Strength float64
+	// FirstStart is set while the whole system starts for the first time: nobody waits for
+	// it yet, and the list of hosts is still being written.
+	FirstStart bool
 	// Address is where other hosts reach this one; empty if they cannot.
 	Address        string
 	Board          Board
@@ -79,7 +82,7 @@
 type Source struct {
 	options   Options
 	directory *Directory
-	tally     *tally
+	neighbors *neighbors
 	mu        sync.Mutex
 	server    *peers.Server
 	clients   map[Peer]*peers.Client
@@ -132,14 +135,11 @@
 		Address: o.Address, FailureDomain: o.FailureDomain, Region: o.Region, Strength: o.Strength, Secret: hex.EncodeToString(secret),
 	}}
 	s := &Source{
-		options: o, directory: NewDirectory(self), clients: map[Peer]*peers.Client{},
+		options: o, directory: NewDirectory(self), neighbors: newNeighbors(), clients: map[Peer]*peers.Client{},
 		joined: make(chan struct{}), settled: make(chan struct{}),
 		patientUntil: time.Now().Add(startPatience + mathrand.N(startSpread)),
 		changes:      make(chan traffic.UpstreamChange, queuedChanges), left: make(chan struct{}, 1), refreshed: newSignal(),
 	}
-	if o.Loads != nil {
-		s.tally = newTally(o.Loads.Requests)
-	}
 	s.intake.until = neverHeard
 	s.reread.Store(true)
 	s.listHeard.Store(int64(o.Uptime() - neverListed))
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -30,10 +30,6 @@
 	Cached bool
 	// FailureDomain is this host's own.
 	FailureDomain string
-	// PoolMean is the mean load of the pool as all hosts together count it; 0 if that is
-	// not known. A host that sees little of the traffic would take it for much lower by
-	// the loads that it knows of, and pass engines over that are not full.
-	PoolMean float64
 	// Multiple is how many times the mean load an upstream may carry.
 	Multiple float64
 	// Tie orders upstreams that are equally good.
@@ -99,9 +95,6 @@
 
 // Mean returns the mean load of the upstreams.
 func (c Choice) Mean() float64 {
-	if c.PoolMean > 0 {
-		return c.PoolMean
-	}
 	sum := 0.0
 	for _, l := range c.Loads {
 		sum += l
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -14,19 +13,10 @@
 // other hosts' requests: about the time that an answer takes.
 const toldLifetime = 2 * time.Second
 
-// regionLifetime is how long the numbers of the whole region say something: they come
-// each second at least.
-const regionLifetime = 3 * time.Second
-
 // Loads holds how many requests each upstream works on, as far as this host knows.
 type Loads struct {
 	mu     sync.Mutex
 	byHash map[uint32]*load
-	// requests are this host's own in progress by pool, region those of all hosts of its
-	// region as they were at regionAt.
-	requests map[uint32]int
-	region   map[uint32]int
-	regionAt time.Time
 }
 
 // Told is what an upstream said of its requests, here or at another host.
@@ -57,7 +47,7 @@
 
 // NewLoads returns loads of nothing.
 func NewLoads() *Loads {
-	return &Loads{byHash: map[uint32]*load{}, requests: map[uint32]int{}}
+	return &Loads{byHash: map[uint32]*load{}}
 }
 
 // Begin counts a request of this host.
@@ -65,7 +55,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entry(now, shortHash(u)).own++
-	l.requests[PoolHash(u.Pool)]++
 }
 
 // End counts a request of this host no longer.
@@ -73,7 +62,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entry(now, shortHash(u)).own--
-	l.requests[PoolHash(u.Pool)]--
 }
 
 // Told takes in what an upstream said in an answer to this host.
@@ -121,34 +109,6 @@
 	return out
 }
 
-// PoolHash returns by what hosts name a pool to each other.
-func PoolHash(pool string) uint32 { return uint32(traffic.HashOf(pool)) }
-
-// Requests returns this host's own requests in progress by the hash of their pool.
-func (l *Loads) Requests() map[uint32]int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return maps.Clone(l.requests)
-}
-
-// SetRegion takes in the requests in progress at all hosts of the region, by the hash of their pool.
-func (l *Loads) SetRegion(now time.Time, byPool map[uint32]int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.region, l.regionAt = byPool, now
-}
-
-// Region returns the requests in progress to a pool at all hosts of the region, or false if they are not known.
-func (l *Loads) Region(now time.Time, pool string) (requests int, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.regionAt) > regionLifetime {
-		return 0, false
-	}
-	requests, ok = l.region[PoolHash(pool)]
-	return requests, ok
-}
-
 // Own returns how many requests of this host an upstream has.
 func (l *Loads) Own(u *traffic.Upstream) int {
 	l.mu.Lock()
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -150,7 +150,7 @@
 		fit = avoided
 	}
 	choice := placement.Choice{
-		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), PoolMean: j.poolMean(), Key: j.key, Cached: j.cached,
+		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), Key: j.key, Cached: j.cached,
 		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple(), Tie: rand.Uint64(),
 	}
 	upstream := placement.Choose(choice)
@@ -168,22 +168,6 @@
 	return upstream
 }
 
-// poolMean returns the mean load of the pool's upstreams in this region as all hosts
-// together count it, or 0 if that is not known.
-func (j *job) poolMean() float64 {
-	requests, ok := j.Loads.Region(time.Now(), j.pool.Name)
-	near := 0
-	for _, u := range j.snapshot.Upstreams(j.pool.Name) {
-		if j.Near(u.FailureDomain) {
-			near++
-		}
-	}
-	if !ok || near == 0 {
-		return 0
-	}
-	return float64(requests) / float64(near)
-}
-
 // candidates returns the upstreams that may be tried, and those of them that
 // evidence speaks against. Another region's are among them only if this one has none:
 // a request there and back takes longer than most targets allow, and the regions
