--- a/common/traffic/upstream.go
+++ b/common/traffic/upstream.go
@@ -32,6 +32,10 @@
 // HashOf returns the hash by which an upstream of an identifier is ranked and named between hosts.
 func HashOf(id string) uint64 { return xxhash.Sum64String(id) }
 
+// ShortHash returns the lower half of an upstream's hash, by which hosts name it to each
+// other. Of 880 upstreams two have the same one in one of 10,000 fleets, and then count as one.
+func ShortHash(hash uint64) uint32 { return uint32(hash) }
+
 // Serves reports whether the upstream can answer requests for a model; an empty name is any model.
 func (u *Upstream) Serves(model string) bool {
 	if model == "" || len(u.Models) == 0 {
--- a/jackdawd/internal/control/controller.go
+++ b/jackdawd/internal/control/controller.go
@@ -135,9 +135,13 @@
 
 // Observe takes in evidence from traffic; it never blocks, and drops evidence while control is behind.
 func (c *Controller) Observe(name string, ok bool) {
+	x := Good
+	if !ok {
+		x = Broken
+	}
 	select {
 	case c.inputs <- func(s *state) {
-		if s.evidence.Observe(time.Now(), name, ok) {
+		if s.evidence.Observe(time.Now(), name, x) {
 			c.refresh(s)
 		}
 	}:
--- a/jackdawd/internal/control/evidence.go
+++ b/jackdawd/internal/control/evidence.go
@@ -2,48 +2,90 @@
 
 import "time"
 
+// An Experience is how one request at another host or upstream went.
+type Experience string
+
+// The experiences.
+const (
+	// Good: it did what it should.
+	Good Experience = "good"
+	// Failed: it answered that it failed, which may be the request's own fault.
+	Failed Experience = "failed"
+	// Silent: it did not begin to answer, or paused, for longer than it should.
+	Silent Experience = "silent"
+	// Broken: it could not be reached, or broke off.
+	Broken Experience = "broken"
+)
+
 const (
-	// failuresToAvoid is how many failures in a row speak against a host.
-	failuresToAvoid = 3
+	// scoreToAvoid is the score from which evidence speaks against a host: three
+	// failures in a row, or more with some successes in between.
+	scoreToAvoid = 3
+	// forgiveness is what one success takes off the score. With it the score of a host
+	// that fails less than one request in three stays near zero, and that of one that
+	// fails three in five reaches scoreToAvoid after some ten.
+	forgiveness = 0.5
+	// probation is the score of a host that was avoided: one success and one failure
+	// avoid it again, each success in a row makes it less likely.
+	probation = scoreToAvoid - forgiveness
 	// successesToTrust is how many successes in a row end a host's history of failures.
 	successesToTrust = 20
 	firstAvoidance   = time.Second
 	longestAvoidance = 30 * time.Second
+	// trust is how far successes take the score below zero, so that a host which answers
+	// here needs more failures for others' word to count.
+	trust = 2
+	// othersShare is what other hosts' scores add to this host's own, and mostOfOthers the
+	// most that they do: without a failure of its own a host avoids nobody, or hosts whose
+	// own network fails would take upstreams from all.
+	othersShare  = 0.5
+	mostOfOthers = probation
+	// tellFrom is the score from which other hosts are told, tellFor for how long after the last failure.
+	tellFrom = 1
+	tellFor  = 3 * time.Second
 	// maxAvoidedShare is the part of a group that evidence may take out: 1 in 3.
 	maxAvoidedShare = 3
 )
 
+// weights is what each experience adds to the score. Requests that fail wherever they run
+// are a tenth of some callers'; alone they never make up the score.
+var weights = map[Experience]float64{Failed: 0.8, Silent: 1, Broken: 1}
+
 // An Evidence is this host's own experience of which hosts answer.
 // It is not safe for concurrent use.
 type Evidence struct {
-	records map[string]*experience
+	records map[string]*record
+	// others are the scores that other hosts have told, added up.
+	others map[string]float64
 }
 
-// experience is what this host has seen of one other.
-type experience struct {
-	failures  int
+// record is what this host has seen of one other.
+type record struct {
+	score     float64
 	successes int
+	// failedAt is when it failed last.
+	failedAt  time.Time
 	avoidance time.Duration
 	until     time.Time
 }
 
 // NewEvidence returns an evidence without experience.
 func NewEvidence() *Evidence {
-	return &Evidence{records: map[string]*experience{}}
+	return &Evidence{records: map[string]*record{}}
 }
 
-// Observe takes in that a host answered or did not, and reports whether what to avoid has changed.
-func (e *Evidence) Observe(now time.Time, name string, ok bool) bool {
+// Observe takes in how a request at a host went, and reports whether what to avoid has changed.
+func (e *Evidence) Observe(now time.Time, name string, x Experience) bool {
 	r, known := e.records[name]
 	if !known {
-		if ok {
+		if x == Good {
 			return false
 		}
-		r = &experience{}
+		r = &record{}
 		e.records[name] = r
 	}
-	if ok {
-		r.failures = 0
+	if x == Good {
+		r.score = max(r.score-forgiveness, -trust)
 		r.successes++
 		// A flapping host succeeds now and then. Forgetting its failures at
 		// once would send its chats there and back at every flap.
@@ -52,16 +94,35 @@
 		}
 		return false
 	}
-	r.successes = 0
-	r.failures++
-	if now.Before(r.until) || (r.failures < failuresToAvoid && r.avoidance == 0) {
+	r.successes, r.failedAt = 0, now
+	if now.Before(r.until) {
+		// What was sent before it was avoided still fails, which says nothing new.
+		return false
+	}
+	r.score += weights[x]
+	if r.score+min(othersShare*e.others[name], mostOfOthers) < scoreToAvoid {
 		return false
 	}
+	r.score = probation
 	r.avoidance = min(max(2*r.avoidance, firstAvoidance), longestAvoidance)
 	r.until = now.Add(r.avoidance)
 	return true
 }
 
+// Scores returns what speaks against hosts here, for other hosts to be told.
+func (e *Evidence) Scores(now time.Time) map[string]float64 {
+	scores := map[string]float64{}
+	for name, r := range e.records {
+		if r.score >= tellFrom && now.Sub(r.failedAt) < tellFor {
+			scores[name] = r.score
+		}
+	}
+	return scores
+}
+
+// Told takes in the scores of all other hosts, added up; they replace those told before.
+func (e *Evidence) Told(scores map[string]float64) { e.others = scores }
+
 // Avoid returns the names of a group that speak for avoiding: none if they are
 // more than a third of it.
 func (e *Evidence) Avoid(now time.Time, group []string) map[string]bool {
--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -46,51 +47,116 @@
 	Merge(told []placement.Told, above bool)
 }
 
-// neighbors are the hosts that exchange loads with this one, by when they did last.
+// Evidence is what speaks against upstreams, by the short hash of their identifiers.
+type Evidence interface {
+	// Scores returns this host's own, TakeScores takes in those of all others, added up.
+	Scores() map[uint32]float64
+	TakeScores(others map[uint32]float64)
+}
+
+// neighbors are the hosts below that exchange with this one, and what all hosts of the
+// region have told.
 type neighbors struct {
-	mu   sync.Mutex
-	last map[string]time.Time
+	mu    sync.Mutex
+	below map[string]neighbor
+	// region is what speaks against upstreams at all hosts, as it was told at a moment.
+	region   map[uint32]float64
+	regionAt time.Time
+}
+
+// neighbor is what a host below has told last.
+type neighbor struct {
+	at     time.Time
+	scores map[uint32]float64
 }
 
-func newNeighbors() *neighbors { return &neighbors{last: map[string]time.Time{}} }
+func newNeighbors() *neighbors { return &neighbors{below: map[string]neighbor{}} }
 
-// met takes in that a host below has exchanged loads.
-func (n *neighbors) met(now time.Time, host string) {
+// met takes in what a host below has told.
+func (n *neighbors) met(now time.Time, host string, scores map[uint32]float64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.last[host] = now
+	n.below[host] = neighbor{at: now, scores: scores}
 }
 
 // count returns how many there are, the one above included.
 func (n *neighbors) count(now time.Time) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for host, at := range n.last {
-		if now.Sub(at) > neighborLifetime {
-			delete(n.last, host)
+	n.forget(now)
+	return len(n.below) + 1
+}
+
+// sum returns this host's own scores and those of the hosts below, added up.
+func (n *neighbors) sum(now time.Time, own map[uint32]float64) map[uint32]float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.forget(now)
+	sum := map[uint32]float64{}
+	maps.Copy(sum, own)
+	for _, b := range n.below {
+		for upstream, score := range b.scores {
+			sum[upstream] += score
 		}
 	}
-	return len(n.last) + 1
+	return sum
+}
+
+// setRegion takes in the scores of all hosts of the region.
+func (n *neighbors) setRegion(now time.Time, scores map[uint32]float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.region, n.regionAt = scores, now
+}
+
+// all returns the scores of all hosts of the region; none if they are not told any more.
+func (n *neighbors) all(now time.Time) map[uint32]float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now.Sub(n.regionAt) > neighborLifetime {
+		return nil
+	}
+	return n.region
 }
 
-// exchangeLoads exchanges loads with the host above until the context ends.
-func (s *Source) exchangeLoads(ctx context.Context) {
+// forget drops hosts that were not heard of for long; the lock must be held.
+func (n *neighbors) forget(now time.Time) {
+	maps.DeleteFunc(n.below, func(_ string, b neighbor) bool { return now.Sub(b.at) > neighborLifetime })
+}
+
+// exchangeAll exchanges loads and evidence with the host above until the context ends.
+func (s *Source) exchangeAll(ctx context.Context, evidence Evidence) {
 	var last time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
 		next := leastPause
+		own := evidence.Scores()
+		sum := s.neighbors.sum(now, own)
 		if parent, ok := s.directory.LoadParent(now); ok {
 			args := ExchangeArgs{
-				Host:  s.options.Name,
-				Loads: packLoads(now, s.options.Loads.Newest(now, min(now.Sub(last)+overlap, mostSince), mostLoads, false)),
+				Host:   s.options.Name,
+				Loads:  packLoads(now, s.options.Loads.Newest(now, min(now.Sub(last)+overlap, mostSince), mostLoads, false)),
+				Scores: packScores(sum),
 			}
 			last = now
 			next = s.exchange(ctx, parent, args)
+		} else {
+			s.neighbors.setRegion(now, sum)
 		}
+		evidence.TakeScores(without(s.neighbors.all(time.Now()), own))
 		pause.For(ctx, next)
 	}
 }
 
+// without returns the scores of all hosts less this one's own.
+func without(all, own map[uint32]float64) map[uint32]float64 {
+	others := map[uint32]float64{}
+	for upstream, score := range all {
+		others[upstream] = max(score-own[upstream], 0)
+	}
+	return others
+}
+
 // exchange makes one exchange and returns the time until the next. Without an answer the
 // host goes on by what it knows, which fades.
 func (s *Source) exchange(ctx context.Context, parent Peer, args ExchangeArgs) time.Duration {
@@ -105,6 +171,7 @@
 		return exchangeTimeout
 	}
 	s.options.Loads.Merge(reply.Loads.unpack(time.Now()), true)
+	s.neighbors.setRegion(time.Now(), reply.Scores.unpack())
 	return min(max(leastPause, reply.Pause), longestPause)
 }
 
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -1,7 +1,11 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/binary"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"jackdawhinge/common/traffic"
@@ -55,11 +59,15 @@
 	Host string
 	// Loads are what upstreams have told since the last exchange.
 	Loads Loads
+	// Scores are what speaks against upstreams at the host and those below it, added up.
+	Scores Scores
 }
 
 // ExchangeReply is what the hosts above know of loads.
 type ExchangeReply struct {
 	Loads Loads
+	// Scores are what speaks against upstreams at all hosts of the region, added up.
+	Scores Scores
 	// Pause is the time until the next exchange, by what the host above may spend.
 	Pause time.Duration
 }
@@ -100,3 +108,38 @@
 	}
 	return out
 }
+
+// Scores are what speaks against upstreams, packed: for each four bytes of the upstream's
+// hash and one of the score.
+type Scores []byte
+
+const (
+	scoreBytes = 5
+	// scoreUnit is the unit of scores: evidence comes in tenths.
+	scoreUnit = 0.1
+	// mostScores bounds the upstreams of one message; a fleet in which more fail has other troubles.
+	mostScores = 16
+)
+
+// packScores packs scores, the highest ones if there are too many.
+func packScores(scores map[uint32]float64) Scores {
+	upstreams := slices.SortedFunc(maps.Keys(scores), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
+	})
+	var out Scores
+	for _, u := range upstreams[:min(len(upstreams), mostScores)] {
+		out = binary.LittleEndian.AppendUint32(out, u)
+		out = append(out, byte(min(math.Round(scores[u]/scoreUnit), mostByte)))
+	}
+	return out
+}
+
+// unpack returns the scores; a cut one at the end is left out.
+func (s Scores) unpack() map[uint32]float64 {
+	scores := map[uint32]float64{}
+	for len(s) >= scoreBytes {
+		scores[binary.LittleEndian.Uint32(s)] = float64(s[4]) * scoreUnit
+		s = s[scoreBytes:]
+	}
+	return scores
+}
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -19,6 +19,7 @@
 type Beliefs interface {
 	Changes() *membership.Changes
 	Age() time.Duration
+	Evidence
 }
 
 // service answers the hosts that follow this one.
@@ -104,12 +105,13 @@
 	return err
 }
 
-// Exchange takes in what the hosts below know of loads, and returns what those above do.
+// Exchange takes in what the hosts below know of loads and failures, and returns what those above do.
 func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
 	now := time.Now()
 	s.source.options.Loads.Merge(args.Loads.unpack(now), false)
-	s.source.neighbors.met(now, args.Host)
+	s.source.neighbors.met(now, args.Host, args.Scores.unpack())
 	reply.Loads = packLoads(now, s.source.options.Loads.Newest(now, mostSince, mostLoads, true))
-	reply.Pause = paceOf(exchangeBytes+len(args.Loads)+len(reply.Loads), s.source.neighbors.count(now))
+	reply.Scores = packScores(s.source.neighbors.all(now))
+	reply.Pause = paceOf(exchangeBytes+len(args.Loads)+len(args.Scores)+len(reply.Loads)+len(reply.Scores), s.source.neighbors.count(now))
 	return nil
 }
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -159,7 +159,7 @@
 		missing := s.join(ctx)
 		s.serve(ctx, beliefs)
 		close(s.joined)
-		s.done.Go(func() { s.exchangeLoads(ctx) })
+		s.done.Go(func() { s.exchangeAll(ctx, beliefs) })
 		s.followDirectory(ctx, missing)
 	})
 }
--- a/jackdawd/internal/fleet/source_test.go
+++ b/jackdawd/internal/fleet/source_test.go
@@ -84,6 +84,10 @@
 
 func (k *knowledge) Changes() *membership.Changes { return k.keeper.Changes() }
 
+func (k *knowledge) Scores() map[uint32]float64 { return k.keeper.Scores() }
+
+func (k *knowledge) TakeScores(others map[uint32]float64) { k.keeper.TakeScores(others) }
+
 func (k *knowledge) Age() time.Duration { return time.Duration(k.behind.Load()) }
 
 // fixed is a keeper's sources that say one thing.
@@ -367,6 +371,36 @@
 	require.Equal(t, 1, p.reader.neighbors.count(time.Now().Add(neighborLifetime+time.Second)), "a host that is gone is no neighbor")
 }
 
+// Each host sees few of the requests that an engine fails. Added up from below, all know
+// how many there are; a host does not take its own for those of others.
+func TestScoresAddUp(t *testing.T) {
+	now, n := time.Unix(1000, 0), newNeighbors()
+	own := map[uint32]float64{1: 2}
+	n.met(now, "entry-1", map[uint32]float64{1: 1.5, 2: 3})
+	n.met(now.Add(-neighborLifetime-1), "entry-2", map[uint32]float64{1: 9})
+	require.Equal(t, map[uint32]float64{1: 3.5, 2: 3}, n.sum(now, own))
+	require.Empty(t, n.all(now))
+	n.setRegion(now, map[uint32]float64{1: 7, 2: 3})
+	require.Equal(t, map[uint32]float64{1: 5, 2: 3}, without(n.all(now), own))
+	require.Empty(t, n.all(now.Add(neighborLifetime+1)))
+}
+
+func TestScoresArePacked(t *testing.T) {
+	scores := map[uint32]float64{7: 1.5, 9: 99}
+	packed := packScores(scores)
+	require.Len(t, packed, 2*scoreBytes)
+	require.InDelta(t, 1.5, packed.unpack()[7], 0.01)
+	require.InDelta(t, mostByte*scoreUnit, packed.unpack()[9], 0.01)
+	require.Len(t, packed[:scoreBytes+1].unpack(), 1)
+	many := map[uint32]float64{}
+	for i := range uint32(99) {
+		many[i] = float64(i)
+	}
+	kept := packScores(many).unpack()
+	require.Len(t, kept, mostScores)
+	require.Contains(t, kept, uint32(98))
+}
+
 // However many hosts tell each other, none spends more on it than its budget: the host
 // above says when it wants to hear again.
 func TestExchangesKeepTheirBudget(t *testing.T) {
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -87,9 +87,11 @@
 	// outOfTouch is for how long the configuration was older than reads can make it.
 	outOfTouch atomic.Int64
 	changes    atomic.Pointer[Changes]
-	inputs     chan func(*beliefs)
-	cancel     context.CancelFunc
-	done       sync.WaitGroup
+	// scores are what speaks against upstreams here, by the short hash of their identifiers.
+	scores atomic.Pointer[map[uint32]float64]
+	inputs chan func(*beliefs)
+	cancel context.CancelFunc
+	done   sync.WaitGroup
 }
 
 // never stands for a read that was not yet answered.
@@ -149,12 +151,12 @@
 	return s.Known() && c != nil && (!c.Keyed() || k.HonorsKeys())
 }
 
-// Observe takes in from traffic whether an upstream did what it should; it never
-// blocks, and drops evidence while control is behind.
-func (k *Keeper) Observe(id string, ok bool) {
+// Observe takes in from traffic how a request at an upstream went; it never blocks, and
+// drops evidence while control is behind.
+func (k *Keeper) Observe(id string, x control.Experience) {
 	select {
 	case k.inputs <- func(b *beliefs) {
-		if b.evidence.Observe(time.Now(), id, ok) {
+		if b.evidence.Observe(time.Now(), id, x) {
 			k.refresh(b)
 		}
 	}:
@@ -162,6 +164,40 @@
 	}
 }
 
+// tellScores publishes what speaks against upstreams here.
+func (k *Keeper) tellScores(b *beliefs) {
+	scores := map[uint32]float64{}
+	for id, score := range b.evidence.Scores(time.Now()) {
+		scores[traffic.ShortHash(traffic.HashOf(id))] = score
+	}
+	k.scores.Store(&scores)
+}
+
+// Scores returns what speaks against upstreams here, by the short hash of their identifiers.
+func (k *Keeper) Scores() map[uint32]float64 {
+	if scores := k.scores.Load(); scores != nil {
+		return *scores
+	}
+	return nil
+}
+
+// TakeScores takes in what speaks against upstreams at all other hosts, added up; it never
+// blocks, as they are told again.
+func (k *Keeper) TakeScores(others map[uint32]float64) {
+	select {
+	case k.inputs <- func(b *beliefs) {
+		told := map[string]float64{}
+		for id, u := range b.listed {
+			if score := others[traffic.ShortHash(u.Hash)]; score > 0 {
+				told[id] = score
+			}
+		}
+		b.evidence.Told(told)
+	}:
+	default:
+	}
+}
+
 // Lost takes in that another upstream has the address of this one, which is therefore gone.
 func (k *Keeper) Lost(id string) {
 	select {
@@ -195,6 +231,7 @@
 			}
 			k.expire(b, time.Now())
 			k.refresh(b)
+			k.tellScores(b)
 		}
 	}
 }
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -27,12 +27,6 @@
 	At       time.Time
 }
 
-// shortHash returns by what hosts name an upstream to each other. Of 880 upstreams
-// two have the same one in one of 10,000 fleets, and then count as one.
-func shortHash(u *traffic.Upstream) uint32 {
-	return uint32(u.Hash)
-}
-
 // load is one upstream's: this host's own requests, and what other hosts had
 // there when the upstream last told.
 type load struct {
@@ -54,21 +48,21 @@
 func (l *Loads) Begin(now time.Time, u *traffic.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entry(now, shortHash(u)).own++
+	l.entry(now, traffic.ShortHash(u.Hash)).own++
 }
 
 // End counts a request of this host no longer.
 func (l *Loads) End(now time.Time, u *traffic.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entry(now, shortHash(u)).own--
+	l.entry(now, traffic.ShortHash(u.Hash)).own--
 }
 
 // Told takes in what an upstream said in an answer to this host.
 func (l *Loads) Told(now time.Time, u *traffic.Upstream, told traffic.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entry(now, shortHash(u))
+	e := l.entry(now, traffic.ShortHash(u.Hash))
 	e.take(Told{Requests: told.Running + told.Waiting, At: now}, false)
 }
 
@@ -113,7 +107,7 @@
 func (l *Loads) Own(u *traffic.Upstream) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e, ok := l.byHash[shortHash(u)]; ok {
+	if e, ok := l.byHash[traffic.ShortHash(u.Hash)]; ok {
 		return e.own
 	}
 	return 0
@@ -138,7 +132,7 @@
 }
 
 func (l *Loads) estimate(now time.Time, u *traffic.Upstream) float64 {
-	e, ok := l.byHash[shortHash(u)]
+	e, ok := l.byHash[traffic.ShortHash(u.Hash)]
 	if !ok {
 		return 0
 	}
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/control"
 	"jackdawhinge/jackdawd/internal/exchange"
 	"jackdawhinge/jackdawd/internal/membership"
 	"jackdawhinge/jackdawd/internal/placement"
@@ -56,7 +57,7 @@
 	Age() time.Duration
 	HonorsKeys() bool
 	Current() bool
-	Observe(id string, ok bool)
+	Observe(id string, x control.Experience)
 	Lost(id string)
 }
 
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -52,6 +52,8 @@
 	status int
 	split  events.Splitter
 
+	// watch looks after the upstream that the request is tried at.
+	watch *watch
 	// age is how old the configuration may have been when the request arrived.
 	age        time.Duration
 	firstEvent time.Duration
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -56,7 +56,12 @@
 		a.SetPatience(0)
 		return
 	}
-	a.SetPatience(max(silentPauses*j.route.PauseTarget, leastPause))
+	a.SetPatience(j.pauseWithin())
+}
+
+// pauseWithin returns how long the next event of a stream may take.
+func (j *job) pauseWithin() time.Duration {
+	return max(silentPauses*j.route.PauseTarget, leastPause)
 }
 
 // send passes whole events on at once.
@@ -70,6 +75,7 @@
 		j.longestPause = max(j.longestPause, now.Sub(j.sentAt))
 	}
 	j.sentAt = now
+	j.watch.heard(j.pauseWithin())
 	if err := j.out.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
 		return err
 	}
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/control"
 	"jackdawhinge/jackdawd/internal/exchange"
 )
 
@@ -44,6 +45,8 @@
 	j.tried = append(j.tried, u.ID)
 	j.Loads.Begin(time.Now(), u)
 	defer func() { j.Loads.End(time.Now(), u) }()
+	j.watch = j.watchOver(ctx, u)
+	defer j.watch.stop()
 	call := j.call(u)
 	answer, err := j.Client.Do(ctx, call)
 	if err != nil {
@@ -61,7 +64,7 @@
 		j.Members.Lost(u.ID)
 		return result{verdict: replaced}
 	case head.NotRun:
-		j.observe(ctx, u, false)
+		j.observe(ctx, u, control.Broken)
 		return result{verdict: rejected}
 	}
 	j.mayHaveRun = true
@@ -82,7 +85,7 @@
 	var notSent *exchange.NotSentError
 	if errors.As(err, &notSent) {
 		if !errors.Is(err, exchange.ErrBusy) {
-			j.observe(ctx, u, false)
+			j.observe(ctx, u, control.Broken)
 		}
 		return result{verdict: unsent, err: err}
 	}
@@ -96,17 +99,23 @@
 	if r.verdict == answered && j.cached {
 		j.Warmth.Used(time.Now(), j.key, u.ID)
 	}
-	if r.verdict != callerLeft {
-		j.observe(ctx, u, r.verdict != broken)
+	switch r.verdict {
+	case callerLeft:
+	case failed:
+		j.observe(ctx, u, control.Failed)
+	case broken:
+		j.observe(ctx, u, control.Broken)
+	default:
+		j.observe(ctx, u, control.Good)
 	}
 	return r
 }
 
-// observe tells whether the upstream did what it should. A caller that left or a
-// deadline that passed ends the call like a failure would, and speaks against nobody.
-func (j *job) observe(ctx context.Context, u *traffic.Upstream, ok bool) {
-	if ok || ctx.Err() == nil {
-		j.Members.Observe(u.ID, ok)
+// observe tells how the try went, once. A caller that left or a deadline that passed ends
+// the call like a failure would, and speaks against nobody.
+func (j *job) observe(ctx context.Context, u *traffic.Upstream, x control.Experience) {
+	if j.watch.stop() && (x == control.Good || ctx.Err() == nil) {
+		j.Members.Observe(u.ID, x)
 	}
 }
 
@@ -156,6 +165,7 @@
 		// The server would else guess a type that the upstream did not send.
 		j.w.Header()["Content-Type"] = nil
 	}
+	j.watch.heard(j.pauseWithin())
 	j.begun, j.status, j.firstEvent = true, status, time.Since(j.arrived)
 	j.w.WriteHeader(status)
 }
--- a/jackdawd/internal/relay/upstreams_test.go
+++ b/jackdawd/internal/relay/upstreams_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -158,3 +160,31 @@
 		require.Less(t, <-ended, 5500*time.Millisecond, "closed before the upstream would")
 	})
 }
+
+// An engine takes requests and says nothing. Those must not run twice, so that their
+// callers wait until they give up. Others do not have to find that out: after the first
+// few have waited for twice the time in which an answer should begin, the engine is
+// avoided, though nobody has given up yet.
+func TestSilentEngineIsAvoidedWhileCallersWait(t *testing.T) {
+	run(t, []string{"reader-1", "reader-2", "reader-3", "reader-4"}, func(t *testing.T, f *fixture) {
+		f.runners["reader-1"].SetBehavior(func(_ http.ResponseWriter, r *http.Request, body []byte) bool {
+			f.runners["reader-1"].Note(r, body)
+			<-r.Context().Done()
+			return true
+		})
+		var waiting sync.WaitGroup
+		for i := range 40 {
+			waiting.Go(func() {
+				req, err := caller.Stream(t.Context(), "/sort/x", fmt.Sprintf("first-%d", i), fmt.Sprintf("b%d", i), 2)
+				if err == nil {
+					f.do(req)
+				}
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Greater(t, len(f.runners["reader-1"].Runs()), 3)
+		time.Sleep(800 * time.Millisecond)
+		require.True(t, f.handler.Members.Snapshot().Avoided("reader-1"))
+		waiting.Wait()
+	})
+}
