--- a/soak/internal/plan/plan.go
+++ b/soak/internal/plan/plan.go
@@ -36,13 +36,17 @@
 	HangUpstream  Kind = "hang-upstream"
 	AddRoute      Kind = "add-route"
 	RevokeKey     Kind = "revoke-key"
+	LoseUpstream  Kind = "lose-upstream"
+	LoseStore     Kind = "lose-store"
+	FlapUpstream  Kind = "flap-upstream"
+	DropIdle      Kind = "drop-idle"
 )
 
 // kinds are all of them, in the order in which they are drawn.
 var kinds = []Kind{
 	PauseHost, KillHost, StopHost, HangUp, StoreFails, StoreLimits, StoreSilent, StoreTorn, StoreSlow, StoreForgets,
 	CutStore, CutOneWay, ResetStore, DelayUpstream, CutUpstream, ResetUpstream, CrashUpstream, DrainUpstream, ShedUpstream, Garble,
-	HangUpstream, AddRoute, RevokeKey,
+	HangUpstream, AddRoute, RevokeKey, LoseUpstream, LoseStore, FlapUpstream, DropIdle,
 }
 
 // A Fault is one fault of a plan.
--- a/soak/internal/rig/proxy.go
+++ b/soak/internal/rig/proxy.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -18,9 +19,21 @@
 	HoldBack Mode = "hold-back"
 	// Delay passes everything later.
 	Delay Mode = "delay"
+	// Lossy passes some of it much later, as if packets had been lost and sent again.
+	Lossy Mode = "lossy"
+	// DropIdle resets connections that were idle when something is sent on them, as
+	// servers do that have dropped them without notice.
+	DropIdle Mode = "drop-idle"
 )
 
-const delay = 150 * time.Millisecond
+const (
+	delay = 150 * time.Millisecond
+	// lossShare is how many pieces in a hundred are lost, resend how long it takes to send one again.
+	lossShare = 10
+	resend    = 250 * time.Millisecond
+	// idleFor is how long a connection is idle that is dropped.
+	idleFor = 300 * time.Millisecond
+)
 
 // A Proxy forwards connections to a server on loopback.
 type Proxy struct {
@@ -68,14 +81,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			// Without lingering the close is a reset.
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		reset(c)
 	}
 }
 
+// reset ends a connection with a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// Without lingering the close is a reset.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// drops reports whether a connection that was idle for a time is dropped.
+func (p *Proxy) drops(idle time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode == DropIdle && idle > idleFor
+}
+
 // Close ends the proxy.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -107,7 +132,12 @@
 	defer func() { _ = from.Close() }()
 	buf := make([]byte, 16<<10)
 	for {
+		begun := time.Now()
 		n, err := from.Read(buf)
+		if !back && p.drops(time.Since(begun)) {
+			reset(from)
+			return
+		}
 		p.wait(back)
 		if _, werr := to.Write(buf[:n]); werr != nil || err != nil {
 			return
@@ -127,6 +157,9 @@
 		case mode == Delay:
 			time.Sleep(delay)
 			return
+		case mode == Lossy && rand.IntN(100) < lossShare:
+			time.Sleep(resend)
+			return
 		default:
 			return
 		}
--- a/soak/internal/rig/upstream.go
+++ b/soak/internal/rig/upstream.go
@@ -136,7 +136,7 @@
 	var out []verdict.Run
 	for i, r := range u.past {
 		for _, run := range r.Runs() {
-			out = append(out, verdict.Run{ID: run.ID, Upstream: u.ids[i], At: run.At})
+			out = append(out, verdict.Run{ID: run.ID, Pool: u.service, Upstream: u.ids[i], At: run.At, Ended: run.Ended})
 		}
 	}
 	return out
--- a/soak/internal/verdict/checks.go
+++ b/soak/internal/verdict/checks.go
@@ -24,6 +24,12 @@
 	retrySlack = 3
 	// Recover is how long after the last fault the system may take to serve again.
 	Recover = 6 * time.Second
+	// LoadMultiple and loadSlack bound the requests of an upstream by the mean of its pool;
+	// some may find more, as hosts know of each other's a second late.
+	LoadMultiple = 2
+	loadSlack    = 3
+	mostOver     = 20
+	overShare    = 0.03
 	// servedShare is the share that must then be served.
 	servedShare = 0.95
 )
@@ -39,7 +45,7 @@
 
 // Check returns the promises that a record breaks.
 func Check(r *Record) []Violation {
-	checks := []func(*Record) []Violation{wholeAnswers, atMostOnce, truthfulRefusals, retries, drained, inForce, neverBack, revoked, recovered, stoppedCleanly}
+	checks := []func(*Record) []Violation{wholeAnswers, atMostOnce, truthfulRefusals, retries, drained, inForce, neverBack, revoked, recovered, stoppedCleanly, bounded}
 	var all []Violation
 	for _, check := range checks {
 		all = append(all, check(r)...)
@@ -224,3 +230,31 @@
 	}
 	return true
 }
+
+// bounded: in calm no upstream gets requests while it has well over the mean of its pool.
+func bounded(r *Record) []Violation {
+	over, all := 0, 0
+	for _, run := range r.Runs {
+		if run.At.Sub(r.FaultEnd) < Recover {
+			continue
+		}
+		all++
+		here, pool := 0, 0
+		for _, other := range r.Runs {
+			if other.Pool != run.Pool || other.ID == run.ID || !other.At.Before(run.At) || !other.Ended.After(run.At) {
+				continue
+			}
+			pool++
+			if other.Upstream == run.Upstream {
+				here++
+			}
+		}
+		if float64(here) > LoadMultiple*float64(pool)/float64(max(r.PoolUpstreams, 1))+loadSlack {
+			over++
+		}
+	}
+	if over >= mostOver && float64(over) > overShare*float64(all) {
+		return []Violation{{"load bound", fmt.Sprintf("%d of %d requests reached upstreams that had more than they should", over, all)}}
+	}
+	return nil
+}
--- a/soak/internal/verdict/checks_test.go
+++ b/soak/internal/verdict/checks_test.go
@@ -1,6 +1,7 @@
 package verdict
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -60,6 +61,12 @@
 		}},
 		"revoked key runs": {"revocation", func(r *Record) { r.Changes = append(r.Changes, Change{At: at(10), Key: "k"}) }},
 		"not recovered":    {"recovery", func(r *Record) { r.Exchanges[2].Status, r.Exchanges[3].Status = 502, 502 }},
+		"one gets all": {"load bound", func(r *Record) {
+			r.PoolUpstreams = 3
+			for i := range 60 {
+				r.Runs = append(r.Runs, Run{ID: fmt.Sprint(i), Pool: "reader", Upstream: "u1", At: at(20 + float64(i)/100), Ended: at(25)})
+			}
+		}},
 		"stop cuts off": {"graceful stop", func(r *Record) {
 			r.Stops = append(r.Stops, Span{From: at(2.05), To: at(5)})
 			r.Exchanges[1].Whole = false
@@ -90,3 +97,22 @@
 	r.Upsets(at(2), at(3))
 	require.Empty(t, Check(r))
 }
+
+// The same number of requests spread over the pool, or before the system has recovered,
+// is no broken promise.
+func TestSpreadLoadBreaksNothing(t *testing.T) {
+	for name, begin := range map[string]float64{"spread": 20, "not yet recovered": 11} {
+		t.Run(name, func(t *testing.T) {
+			r := good()
+			r.PoolUpstreams = 3
+			for i := range 60 {
+				upstream := "u1"
+				if begin == 20 {
+					upstream = fmt.Sprint("u", i%3)
+				}
+				r.Runs = append(r.Runs, Run{ID: fmt.Sprint(i), Pool: "reader", Upstream: upstream, At: at(begin + float64(i)/100), Ended: at(begin + 5)})
+			}
+			require.Empty(t, Check(r))
+		})
+	}
+}
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -49,8 +49,11 @@
 // A Run is one request at an upstream.
 type Run struct {
 	ID       string
+	Pool     string
 	Upstream string
 	At       time.Time
+	// Ended is zero for a run that did not end as it should.
+	Ended time.Time
 }
 
 // A Span is a time during which a promise with a bound does not hold.
@@ -84,6 +87,8 @@
 	FaultEnd time.Time
 	End      time.Time
 	Hosts    int
+	// PoolUpstreams is how many upstreams each pool has while none is disturbed.
+	PoolUpstreams int
 }
 
 // Add takes in an exchange.
