--- a/jackdawd/internal/exchange/answer.go
+++ b/jackdawd/internal/exchange/answer.go
@@ -138,9 +138,11 @@
 		}
 		_, err := a.conn.reader.Peek(1)
 		switch {
-		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			// What has come, or that the connection has ended, is for the reader of the
+			// answer to judge: only it knows whether this is where an answer may end.
 			return a.wait(d)
-		case !errors.Is(err, os.ErrDeadlineExceeded) || a.call.GiveUp == nil || a.call.GiveUp():
+		case a.call.GiveUp == nil || a.call.GiveUp():
 			return err
 		}
 	}
@@ -154,10 +156,14 @@
 	return a.conn.SetReadDeadline(time.Now().Add(d))
 }
 
-// stalled names a passed read deadline by its reason.
+// stalled names a passed read deadline by its reason. An end in the middle of an answer
+// must not be taken for its end by who looks for io.EOF.
 func stalled(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return ErrStalled
+	case errors.Is(err, io.EOF):
+		return io.ErrUnexpectedEOF
 	}
 	return err
 }
--- a/jackdawd/internal/relay/stream_test.go
+++ b/jackdawd/internal/relay/stream_test.go
@@ -204,3 +204,46 @@
 		require.Equal(t, f.feed.upstreams[warm].Address, run.Header.Get(standin.FetchHeader))
 	})
 }
+
+// An engine crashes right between two events, where all that has come looks whole but
+// for the end of the stream. It must not be taken for the end: the caller of a resumable
+// stream gets the rest from another engine, that of any other sees that it broke off.
+func TestCrashBetweenEventsIsNoEnd(t *testing.T) {
+	for name, test := range map[string]struct {
+		path  string
+		whole bool
+	}{
+		"resumable":     {"/digest/x", true},
+		"not resumable": {"/sort/x", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+				crashed := false
+				f.all(func(r *standin.Runner) standin.Behavior {
+					return func(w http.ResponseWriter, req *http.Request, body []byte) bool {
+						if crashed {
+							return false
+						}
+						crashed = true
+						id := r.Note(req, body).ID
+						raw(w, func(c net.Conn, _ *bufio.ReadWriter) {
+							text := pieces(1, 2)
+							_, _ = fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+								strings.ReplaceAll(sealed, "ID", id), len(text), text)
+							time.Sleep(20 * time.Millisecond)
+							_ = c.Close()
+						})
+						return true
+					}
+				})
+				a := f.do(f.stream(test.path, "r1", 4))
+				if test.whole {
+					require.NoError(t, a.err)
+					require.Equal(t, pieces(1, 4), a.body)
+					return
+				}
+				require.Error(t, a.err)
+			})
+		})
+	}
+}
