--- a/Makefile
+++ b/Makefile
@@ -16,11 +16,13 @@
 test: model
 	go test $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
-# One short seed of faults against real processes; more by hand, see the operators' guide.
+# One short seed of faults against real processes, and those that have failed once; more
+# by hand, see the operators' guide.
 soak: build
 	go build -o bin/ ./soak
 	rm -rf bin/soak-logs
 	bin/soak run bin/jackdawd bin/soak-logs --seed 1 --faults 6s
+	bin/soak run bin/jackdawd bin/soak-logs --regressions
 
 model:
 	./spec/check
--- a/soak/internal/cmd/cmd.go
+++ b/soak/internal/cmd/cmd.go
@@ -38,13 +38,14 @@
 func newRunCmd() *cobra.Command {
 	o := rig.Options{}
 	var first, seeds uint64
+	var regressions bool
 	cmd := &cobra.Command{
 		Use:   "run PROGRAM DIR",
 		Short: "Play seeds with the daemon's binary; settings and logs go into the folder",
 		Args:  cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			broken := false
-			for seed := first; seed < first+seeds; seed++ {
+			for _, seed := range chosen(first, seeds, regressions) {
 				one := o
 				one.Seed, one.Program, one.Dir = seed, args[0], filepath.Join(args[1], fmt.Sprintf("seed-%d", seed))
 				good, err := play(cmd.OutOrStdout(), one)
@@ -59,6 +60,7 @@
 			return nil
 		},
 	}
+	cmd.Flags().BoolVar(&regressions, "regressions", false, "play the seeds that have failed once instead")
 	cmd.Flags().Uint64Var(&first, "seed", 1, "the first seed")
 	cmd.Flags().Uint64Var(&seeds, "seeds", 1, "how many seeds, one after the other")
 	cmd.Flags().DurationVar(&o.Faults, "faults", defaultFaults, "how long faults are injected")
@@ -68,6 +70,21 @@
 	return cmd
 }
 
+// chosen returns the seeds to play.
+func chosen(first, seeds uint64, regressions bool) []uint64 {
+	var out []uint64
+	if regressions {
+		for _, r := range plan.Regressions() {
+			out = append(out, r.Seed)
+		}
+		return out
+	}
+	for seed := first; seed < first+seeds; seed++ {
+		out = append(out, seed)
+	}
+	return out
+}
+
 // play plays one seed, prints its verdict and reports whether all promises were kept.
 func play(w io.Writer, o rig.Options) (bool, error) {
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
--- a/soak/internal/plan/plan_test.go
+++ b/soak/internal/plan/plan_test.go
@@ -22,3 +22,14 @@
 	}
 	require.Len(t, seen, len(kinds))
 }
+
+// A seed that has failed stays as it was, with the fault that it failed by.
+func TestRegressionsHaveTheirFaults(t *testing.T) {
+	for _, r := range Regressions() {
+		crashes := false
+		for _, f := range Draw(r.Seed, 12*time.Second) {
+			crashes = crashes || f.Kind == CrashUpstream
+		}
+		require.True(t, crashes, "seed %d: %s", r.Seed, r.Cause)
+	}
+}
