--- a/jackdawd/internal/fleet/tree.go
+++ b/jackdawd/internal/fleet/tree.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// readers is how many hosts of a region read the store, so that one can fail. Each
+	// mostReaders is how many hosts of a region read the store, so that one can fail. Each
 	// reads all that the upstreams write of themselves, 183 KB a second of 880 upstreams,
 	// and nothing that a host could do makes that less.
-	readers = 2
+	mostReaders = 2
 	// fanOut is how many hosts follow one: with it a host sends and gets 4.5 KB a second
 	// at most however many hosts there are, and 90 hosts of a failure domain are three
 	// steps below the first one.
@@ -46,14 +46,14 @@
 	}
 	domain := d.ranked(now, d.self.FailureDomain)
 	rank := slices.IndexFunc(domain, func(p Peer) bool { return p.Name == d.self.Name })
-	interior := interior(len(domain))
+	followed := interior(len(domain))
 	switch {
 	case rank == 0:
 		return d.pick(readers), true
-	case rank < interior:
+	case rank < followed:
 		return domain[(rank-1)/fanOut], true
 	default:
-		return d.pick(domain[(interior-1)/fanOut : interior]), true
+		return d.pick(domain[(followed-1)/fanOut : followed]), true
 	}
 }
 
@@ -85,7 +85,7 @@
 	d.sort(seconds)
 	// A region of one failure domain has its second reader there too.
 	heads = append(heads, seconds...)
-	return heads[:min(readers, len(heads))]
+	return heads[:min(mostReaders, len(heads))]
 }
 
 // domains returns the failure domains of the region, in order; the lock must be held.
@@ -95,18 +95,18 @@
 
 // interior returns how many of n hosts have followers.
 func interior(n int) int {
-	followed := (n - 1 + fanOut - 1) / fanOut
-	if followed <= 1 {
+	needed := (n - 1 + fanOut - 1) / fanOut
+	if needed <= 1 {
 		return 1
 	}
-	return min((followed+interiorStep-1)/interiorStep*interiorStep, n)
+	return min((needed+interiorStep-1)/interiorStep*interiorStep, n)
 }
 
 // ranked returns the hosts of a failure domain of the region that are not suspected,
 // in their order; the lock must be held.
 func (d *Directory) ranked(now time.Time, domain string) []Peer {
 	all := d.ordered[domain]
-	if len(d.suspects) == 0 || now.IsZero() {
+	if len(d.suspects) == 0 {
 		return all
 	}
 	var peers []Peer
