--- a/jackdawd/internal/stories/writer_test.go
+++ b/jackdawd/internal/stories/writer_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -63,6 +65,32 @@
 	require.Greater(t, lines/3, 10*usualPerSecond/2)
 }
 
+// Nobody reads standard output any more. Requests end as before, ten thousand of them at
+// once; lines that find no room are counted instead of waited for.
+func TestRequestsGoOnWhenNobodyReadsTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, out := io.Pipe()
+		lines := telemetry.NewLogWriter(out)
+		usual, unusual := logrus.New(), logrus.New()
+		usual.SetOutput(lines.Plentiful())
+		unusual.SetOutput(lines)
+		w := NewWriter(usual, unusual, telemetry.NewMeter())
+		begun := time.Now()
+		for i := range 10_000 {
+			outcome := relay.Answered
+			if i%2 == 0 {
+				outcome = relay.Left
+			}
+			// A second later each time, so that all are within what is written a second.
+			w.Ended(story(fmt.Sprint(i), outcome, time.Unix(int64(i), 0)))
+		}
+		require.Zero(t, time.Since(begun))
+		require.Positive(t, lines.Dropped())
+		require.NoError(t, reader.Close())
+		lines.Close(time.Second)
+	})
+}
+
 func BenchmarkStory(b *testing.B) {
 	for name, perSecond := range map[string]int{"usual": 15, "ten-times": 150} {
 		b.Run(name, func(b *testing.B) {
