--- a/jackdawd/internal/exchange/answer.go
+++ b/jackdawd/internal/exchange/answer.go
@@ -74,7 +74,9 @@
 		}
 		a.resp, a.head = resp, a.client.heads.Answer(resp.StatusCode, resp.Header)
 		if a.head.ID == a.call.ID || (a.head.ID == "" && a.head.NotRun) {
-			return a.unhurry()
+			// The time limit of the head would else cut a long body off.
+			a.wait(0)
+			return nil
 		}
 		if !a.conn.used {
 			return &CrossedError{Want: a.call.ID, Got: a.head.ID}
@@ -87,17 +89,6 @@
 	return &CrossedError{Want: a.call.ID, Got: a.head.ID}
 }
 
-// unhurry lifts the time limit of the head, which would else cut a long body off.
-func (a *Answer) unhurry() error {
-	if a.call.HeadWithin <= 0 {
-		return nil
-	}
-	if err := a.wait(0); err != nil {
-		return &BrokenError{Cause: err}
-	}
-	return nil
-}
-
 // readOne reads the head of the next answer that is no interim one.
 func (a *Answer) readOne() (*http.Response, error) {
 	for {
@@ -133,27 +124,31 @@
 // it. Only a wait for the first byte can be taken up again after its time is over.
 func (a *Answer) await(d time.Duration) error {
 	for d > 0 {
-		if err := a.wait(d); err != nil {
-			return err
-		}
+		a.wait(d)
 		_, err := a.conn.reader.Peek(1)
 		switch {
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			// What has come, or that the connection has ended, is for the reader of the
 			// answer to judge: only it knows whether this is where an answer may end.
-			return a.wait(d)
+			a.wait(d)
+			return nil
 		case a.call.GiveUp == nil || a.call.GiveUp():
 			return err
 		}
 	}
-	return a.wait(0)
+	a.wait(0)
+	return nil
 }
 
-func (a *Answer) wait(d time.Duration) error {
-	if d <= 0 {
-		return a.conn.SetReadDeadline(time.Time{})
+// wait sets how long reading may take; 0 means as long as the context lasts.
+func (a *Answer) wait(d time.Duration) {
+	until := time.Time{}
+	if d > 0 {
+		until = time.Now().Add(d)
 	}
-	return a.conn.SetReadDeadline(time.Now().Add(d))
+	// A connection that takes no deadline is closed. What came before counts all the
+	// same, and reading on shows the end: nothing waits on it.
+	_ = a.conn.SetReadDeadline(until)
 }
 
 // stalled names a passed read deadline by its reason. An end in the middle of an answer
