--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -26,10 +26,13 @@
 	readerPace = 0.5
 	// readerWait bounds how long a reader's read of the configuration waits, for the same reason.
 	readerWait = time.Second
-	// staleAfter is the age from which a reader has lost the store itself: two of its
-	// reads, of readerWait each, and what they may take while the store is slow. The
-	// sooner it is left, the more time is left to read the store here.
-	staleAfter = 2500 * time.Millisecond
+	// staleSlack is how much older than two of a reader's reads, of readerWait each, and the
+	// time between two of its answers a configuration may be, for what reads may take while
+	// the store is slow. The sooner a host that has lost the store is left, the more time is
+	// left to read it here: of 4.8 s 3.4 s are gone then at most, and 1.1 s more if the
+	// host is silent. Left sooner, sound hosts were left by all at once, each nine seconds,
+	// where they read the upstreams at the longer pace of larger fleets.
+	staleSlack = 300 * time.Millisecond
 	// listSlack is how much older than the time between two of its reads a reader's list
 	// of upstreams may be. An upstream may say that it leaves just after the last read; this,
 	// followTimeout and a read of the store come on top until a follower knows, 1.5 s
@@ -180,7 +183,7 @@
 	if err := c.client(parent).Call(ctx, parent.Address, followCall, &args, &reply); err != nil {
 		return nil, 0, err
 	}
-	if reply.Behind > staleAfter || reply.ListBehind > c.oldestList() {
+	if reply.Behind > c.oldestConfiguration() || reply.ListBehind > c.oldestList() {
 		return nil, 0, &StaleError{Reader: parent.Name, Behind: max(reply.Behind, reply.ListBehind)}
 	}
 	next, behind, err := c.take(parent, reply, sent+reply.Waited-reply.ListBehind)
@@ -196,6 +199,11 @@
 	return time.Duration(readerPace*float64(s.pace.Load())) + listSlack
 }
 
+// oldestConfiguration returns how old the configuration of a host that is followed may be.
+func (s *Source) oldestConfiguration() time.Duration {
+	return 2*readerWait + time.Duration(readerPace*float64(s.pace.Load())) + staleSlack
+}
+
 // take takes in the answer of the host above, whose list of upstreams is as old as given.
 func (c configurations) take(parent Peer, reply FollowReply, listed time.Duration) (*traffic.Configuration, time.Duration, error) {
 	var next *traffic.Configuration
