--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"jackdawhinge/common/pause"
@@ -54,11 +53,6 @@
 	startSpread   = 1500 * time.Millisecond
 	// startPause is the time between two questions of such a host.
 	startPause = 50 * time.Millisecond
-	// storeRest is how long a follower that found the store away, too, goes on asking
-	// other hosts before it reads it again, and storeSpread how much longer at random.
-	// Readers find out sooner that it is back and tell it.
-	storeRest   = 1200 * time.Millisecond
-	storeSpread = 800 * time.Millisecond
 )
 
 // Configurations returns the source as one of configurations.
@@ -83,7 +77,7 @@
 	// answered now hear how old it is; told sooner, each step would add the time between
 	// two answers to the age of what it passes on.
 	c.refreshed.raise()
-	var left error
+	left := false
 	for parent, ok := c.parent(); ok && ctx.Err() == nil; parent, ok = c.parent() {
 		begun := time.Now()
 		next, behind, err := c.follow(ctx, parent)
@@ -91,7 +85,7 @@
 			return next, behind, nil
 		}
 		if !c.patient() {
-			left = err
+			left = true
 			c.leave(ctx, parent, err)
 			break
 		}
@@ -117,19 +111,15 @@
 	return next, err
 }
 
-// readStore reads the configuration from the store; left is why no other host is
-// followed, nil if there is none. Asking one host after the other could take longer
+// readStore reads the configuration from the store; left is set if the host that was
+// followed has just been left. Asking one host after the other could take longer
 // than the bounds allow, so the store is next, at once.
-func (c configurations) readStore(ctx context.Context, wait time.Duration, left error) (*traffic.Configuration, time.Duration, error) {
+func (c configurations) readStore(ctx context.Context, wait time.Duration, left bool) (*traffic.Configuration, time.Duration, error) {
 	c.setFollowing(nil)
-	if left != nil {
-		if c.resting() {
-			return nil, 0, left
-		}
+	if left {
 		wait = 0
 	}
 	next, err := c.options.Configurations.Next(ctx, min(wait, readerWait))
-	c.noteStore(err, left != nil)
 	if next != nil {
 		c.version = max(c.version, next.Version())
 	}
@@ -151,20 +141,6 @@
 	return crowded && s.ListAge() >= neverListed && time.Now().Before(s.patientUntil)
 }
 
-// resting reports whether the store was found away lately.
-func (s *Source) resting() bool {
-	return time.Now().UnixNano() < s.restUntil.Load()
-}
-
-// noteStore takes in whether the store answered; follower is set if others may know more.
-func (s *Source) noteStore(err error, follower bool) {
-	if err != nil && follower {
-		s.restUntil.Store(time.Now().Add(storeRest + rand.N(storeSpread)).UnixNano())
-		return
-	}
-	s.restUntil.Store(0)
-}
-
 // follow makes one call to the host above.
 func (c configurations) follow(ctx context.Context, parent Peer) (*traffic.Configuration, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
@@ -309,8 +285,7 @@
 	if _, follower := u.parent(); !follower {
 		pace = time.Duration(readerPace * float64(pace))
 	}
-	wait := max(pace-time.Since(u.listedAt), time.Until(time.Unix(0, u.restUntil.Load())))
-	if wait > 0 {
+	if wait := pace - time.Since(u.listedAt); wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -96,8 +96,6 @@
 	patientUntil    time.Time
 	// following is the host that is followed; nil while the store is read.
 	following atomic.Pointer[Peer]
-	// restUntil is when the store may be read again that was found away.
-	restUntil atomic.Int64
 
 	// What follows belongs to the goroutine that reads configurations.
 	// asked is the host that was asked last, whole is set until its list of upstreams was
