--- a/common/traffic/upstream.go
+++ b/common/traffic/upstream.go
@@ -12,9 +12,12 @@
 )
 
 // An Upstream is one incarnation of a model engine or plain service. After a
-// restart it is another upstream, perhaps at the same address.
+// restart it is another upstream, perhaps at the same address, and some keep their
+// identifier.
 type Upstream struct {
 	ID string
+	// Incarnation is when it started.
+	Incarnation Incarnation
 	// Hash is HashOf the identifier.
 	Hash          uint64
 	Pool          string
@@ -29,12 +32,33 @@
 	Models []string
 }
 
+// An Incarnation tells the starts of an upstream that keeps its identifier apart: it is
+// the Unix millisecond of the start, higher for a later one, and 0 if the upstream does
+// not say.
+type Incarnation int64
+
+// A Start names one start of an upstream. What was learnt of one start, such as what it
+// has cached or how it failed, says nothing of another one.
+type Start struct {
+	ID          string
+	Incarnation Incarnation
+}
+
+// Start returns which start of the upstream this is.
+func (u *Upstream) Start() Start { return Start{ID: u.ID, Incarnation: u.Incarnation} }
+
 // HashOf returns the hash by which an upstream of an identifier is ranked and named between hosts.
 func HashOf(id string) uint64 { return xxhash.Sum64String(id) }
 
-// ShortHash returns the lower half of an upstream's hash, by which hosts name it to each
-// other. Of 880 upstreams two have the same one in one of 10,000 fleets, and then count as one.
-func ShortHash(hash uint64) uint32 { return uint32(hash) }
+// incarnationFactor spreads incarnations, which differ little, over 32 bits: it is 2^32
+// over the golden ratio, made odd.
+const incarnationFactor = 2654435769
+
+// ShortHash returns the number by which hosts name the start of an upstream to each other.
+// Of 880 upstreams two have the same one in one of 10,000 fleets, and then count as one.
+func (u *Upstream) ShortHash() uint32 {
+	return uint32(u.Hash) ^ uint32(u.Incarnation)*incarnationFactor
+}
 
 // Serves reports whether the upstream can answer requests for a model; an empty name is any model.
 func (u *Upstream) Serves(model string) bool {
@@ -54,6 +78,8 @@
 	ID string
 	// Upstream is nil if the upstream is no longer listed.
 	Upstream *Upstream
+	// Unusable is set if that is because what stands in the entry's place describes no upstream.
+	Unusable bool
 }
 
 // An UpstreamChange is what has changed of the upstreams between two looks at the platform's list.
@@ -72,5 +98,8 @@
 	return UpstreamEntry{ID: u.ID, Upstream: &u}
 }
 
+// Unusable returns the entry of an upstream in whose place something else was written.
+func Unusable(id string) UpstreamEntry { return UpstreamEntry{ID: id, Unusable: true} }
+
 // Gone returns the entry of an upstream that is no longer listed.
 func Gone(id string) UpstreamEntry { return UpstreamEntry{ID: id} }
--- a/jackdawd/internal/control/evidence.go
+++ b/jackdawd/internal/control/evidence.go
@@ -140,6 +140,12 @@
 	return avoid
 }
 
+// Drop drops what is known of a host that has started again.
+func (e *Evidence) Drop(name string) {
+	delete(e.records, name)
+	delete(e.others, name)
+}
+
 // Forget drops what is known of hosts that are no longer listed.
 func (e *Evidence) Forget(listed map[string]bool) {
 	for name := range e.records {
--- a/jackdawd/internal/exchange/client.go
+++ b/jackdawd/internal/exchange/client.go
@@ -45,6 +45,8 @@
 // A Call is one request to one upstream.
 type Call struct {
 	Address string
+	// Upstream is the start of the upstream that is meant; connections to an earlier one are not used.
+	Upstream traffic.Start
 	// ID identifies the request in answers.
 	ID     string
 	Method string
@@ -143,7 +145,9 @@
 		if k == nil {
 			break
 		}
-		if k.quiet() {
+		// What an earlier start had not yet sent would be taken for this one's answer, and a
+		// request written to a connection that it left behind may or may not have arrived.
+		if k.upstream == call.Upstream && k.quiet() {
 			return k, nil
 		}
 		c.discard(k)
@@ -158,7 +162,7 @@
 		c.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: call.Address}, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: call.Address, upstream: call.Upstream}, nil
 }
 
 func (c *Client) reserve(call Call) error {
--- a/jackdawd/internal/exchange/client_test.go
+++ b/jackdawd/internal/exchange/client_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jackdawhinge/common/traffic"
 	"jackdawhinge/platform"
 	"jackdawhinge/platform/standin"
 )
@@ -176,3 +177,26 @@
 		a.Close()
 	}
 }
+
+// An upstream starts again at its address under its identifier. The connection that was
+// kept belongs to its earlier start: the request goes over a new one.
+func TestConnectionToAnEarlierStartIsNotUsed(t *testing.T) {
+	address, conns := upstream(t)
+	client := NewClient(platform.Protocol{}, nil)
+	defer client.Close()
+	answered := make(chan string, 2)
+	go func() {
+		for range 2 {
+			c := <-conns
+			answered <- answerTo(t, c, bufio.NewReader(c))
+		}
+	}()
+	for i, id := range []string{"1", "2"} {
+		c := call(address, id)
+		c.Upstream = traffic.Start{ID: "i-1", Incarnation: traffic.Incarnation(1000 + i)}
+		a, err := client.Do(t.Context(), c)
+		finish(t, a, err)
+		require.Equal(t, id, <-answered)
+	}
+	require.EqualValues(t, 2, client.Dialed())
+}
--- a/jackdawd/internal/exchange/conn.go
+++ b/jackdawd/internal/exchange/conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"jackdawhinge/common/traffic"
 )
 
 const (
@@ -29,7 +31,9 @@
 	net.Conn
 	reader  *bufio.Reader
 	address string
-	used    bool
+	// upstream is the start that it was opened to.
+	upstream traffic.Start
+	used     bool
 	// idleSince and idleFor say when the connection was put back and how long it may be kept.
 	idleSince time.Time
 	idleFor   time.Duration
--- a/jackdawd/internal/membership/beliefs.go
+++ b/jackdawd/internal/membership/beliefs.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"reflect"
 	"time"
 
@@ -18,8 +19,8 @@
 	known bool
 	// since holds when each listed upstream was listed first.
 	since map[string]time.Time
-	// sequences holds the newest entry's number of each upstream, also of those that are gone.
-	sequences map[string]int64
+	// newest holds which entry of each upstream is the newest, also of those that are gone.
+	newest map[string]entryOrder
 	// lapsing holds when an upstream that is no longer listed is given up.
 	lapsing  map[string]time.Time
 	evidence *control.Evidence
@@ -27,6 +28,27 @@
 	log      changeLog
 }
 
+// entryOrder orders the entries of an upstream: those of a later start are newer, and each
+// start numbers its own.
+type entryOrder struct {
+	incarnation traffic.Incarnation
+	sequence    int64
+}
+
+func orderOf(u traffic.Upstream) entryOrder {
+	return entryOrder{incarnation: u.Incarnation, sequence: u.Sequence}
+}
+
+func (o entryOrder) compare(other entryOrder) int {
+	return cmp.Or(cmp.Compare(o.incarnation, other.incarnation), cmp.Compare(o.sequence, other.sequence))
+}
+
+// replaced reports whether an upstream has started again since the start given.
+func (b *beliefs) replaced(start traffic.Start) bool {
+	u, ok := b.listed[start.ID]
+	return ok && u.Incarnation != start.Incarnation
+}
+
 // takeUpstreams takes in a change; what is gone is believed in until giveUpAt,
 // because entries lapse while the store is away though their upstreams live.
 func (k *Keeper) takeUpstreams(b *beliefs, change traffic.UpstreamChange, giveUpAt time.Time) {
@@ -38,9 +60,14 @@
 	listed := map[string]bool{}
 	for _, e := range change.Entries {
 		listed[e.ID] = e.Upstream != nil
-		if e.Upstream != nil {
+		_, known := b.listed[e.ID]
+		switch {
+		case e.Upstream != nil:
 			changed = b.list(*e.Upstream) || changed
-		} else if _, ok := b.listed[e.ID]; ok {
+		case known && e.Unusable:
+			// It did not lapse: it was written over.
+			b.lapsing[e.ID] = time.Time{}
+		case known:
 			b.lapsing[e.ID] = giveUpAt
 		}
 	}
@@ -63,28 +90,42 @@
 
 // list takes in an upstream's entry and reports whether it says anything new.
 func (b *beliefs) list(u traffic.Upstream) bool {
-	if u.Sequence < b.sequences[u.ID] {
+	last, met := b.newest[u.ID]
+	if u.Incarnation == 0 && last.incarnation != 0 {
+		// An upstream that says when it started always does: somebody else wrote this in
+		// the place of its entry, and may have named an address that is not the upstream's.
+		b.lapsing[u.ID] = time.Time{}
+		return false
+	}
+	order := orderOf(u).compare(last)
+	if met && order < 0 {
 		// An entry that was held up on its way says "ready" after the one that says
 		// "leaving", or after its upstream is gone; believing it would send work to
 		// an upstream that leaves. Upstreams number their entries.
 		return false
 	}
 	old, known := b.listed[u.ID]
-	if last, met := b.sequences[u.ID]; met && !known && u.Sequence <= last {
+	if met && !known && order <= 0 {
 		// Another host that has not heard yet that the upstream is gone still tells of
 		// it. An upstream that lives numbers its next entry higher.
 		return false
 	}
-	if _, lapsing := b.lapsing[u.ID]; lapsing && u.Sequence == b.sequences[u.ID] {
+	_, back := b.lapsing[u.ID]
+	if back && order == 0 {
 		return false
 	}
-	_, back := b.lapsing[u.ID]
 	delete(b.lapsing, u.ID)
-	b.sequences[u.ID] = u.Sequence
+	b.newest[u.ID] = orderOf(u)
 	b.listed[u.ID] = u
-	if !known {
+	restarted := known && u.Incarnation != old.Incarnation
+	if !known || restarted {
 		b.since[u.ID] = time.Now()
 	}
+	if restarted {
+		// How it failed before it started again would keep it from the traffic that it can take now.
+		b.evidence.Drop(u.ID)
+		logrus.WithField("upstream", u.ID).Info("membership: An upstream has started again.")
+	}
 	old.Sequence = u.Sequence
 	if known && reflect.DeepEqual(old, u) {
 		if back {
@@ -118,20 +159,20 @@
 		listed[id] = true
 	}
 	b.evidence.Forget(listed)
-	b.forgetSequences()
+	b.forgetOrders()
 	k.publish(b)
 	return true
 }
 
-// forgetSequences drops what is remembered of upstreams that are gone once it is
+// forgetOrders drops what is remembered of upstreams that are gone once it is
 // much, and any entry of them that was held up has long come.
-func (b *beliefs) forgetSequences() {
-	if len(b.sequences) <= 2*len(b.listed)+rememberedGone {
+func (b *beliefs) forgetOrders() {
+	if len(b.newest) <= 2*len(b.listed)+rememberedGone {
 		return
 	}
-	for id := range b.sequences {
+	for id := range b.newest {
 		if _, ok := b.listed[id]; !ok {
-			delete(b.sequences, id)
+			delete(b.newest, id)
 		}
 	}
 }
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -103,7 +103,7 @@
 	k := &Keeper{options: o, inputs: make(chan func(*beliefs), inputBuffer), cancel: cancel}
 	k.heard.Store(never)
 	k.SetBounds(o.Bounds)
-	b := &beliefs{log: newChangeLog(), listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, since: map[string]time.Time{}, sequences: map[string]int64{}, evidence: control.NewEvidence()}
+	b := &beliefs{log: newChangeLog(), listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, since: map[string]time.Time{}, newest: map[string]entryOrder{}, evidence: control.NewEvidence()}
 	k.publish(b)
 	k.done.Go(func() { k.run(ctx, b) })
 	k.done.Go(func() { k.followConfiguration(ctx) })
@@ -153,10 +153,14 @@
 
 // Observe takes in from traffic how a request at an upstream went; it never blocks, and
 // drops evidence while control is behind.
-func (k *Keeper) Observe(id string, x control.Experience) {
+func (k *Keeper) Observe(start traffic.Start, x control.Experience) {
 	select {
 	case k.inputs <- func(b *beliefs) {
-		if b.evidence.Observe(time.Now(), id, x) {
+		if b.replaced(start) {
+			// A request that broke off as its upstream started again says nothing of the new start.
+			return
+		}
+		if b.evidence.Observe(time.Now(), start.ID, x) {
 			k.refresh(b)
 		}
 	}:
@@ -168,7 +172,9 @@
 func (k *Keeper) tellScores(b *beliefs) {
 	scores := map[uint32]float64{}
 	for id, score := range b.evidence.Scores(time.Now()) {
-		scores[traffic.ShortHash(traffic.HashOf(id))] = score
+		if u, ok := b.listed[id]; ok {
+			scores[u.ShortHash()] = score
+		}
 	}
 	k.scores.Store(&scores)
 }
@@ -188,7 +194,7 @@
 	case k.inputs <- func(b *beliefs) {
 		told := map[string]float64{}
 		for id, u := range b.listed {
-			if score := others[traffic.ShortHash(u.Hash)]; score > 0 {
+			if score := others[u.ShortHash()]; score > 0 {
 				told[id] = score
 			}
 		}
@@ -199,12 +205,12 @@
 }
 
 // Lost takes in that another upstream has the address of this one, which is therefore gone.
-func (k *Keeper) Lost(id string) {
+func (k *Keeper) Lost(start traffic.Start) {
 	select {
 	case k.inputs <- func(b *beliefs) {
-		if _, ok := b.listed[id]; ok {
-			b.remove(id)
-			logrus.WithField("upstream", id).Info("membership: Another upstream has the address. This one is gone.")
+		if _, ok := b.listed[start.ID]; ok && !b.replaced(start) {
+			b.remove(start.ID)
+			logrus.WithField("upstream", start.ID).Info("membership: Another upstream has the address. This one is gone.")
 			k.publish(b)
 		}
 	}:
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -21,7 +21,7 @@
 
 // Told is what an upstream said of its requests, here or at another host.
 type Told struct {
-	// Upstream is the lower half of the hash of its identifier.
+	// Upstream is the short hash of its start.
 	Upstream uint32
 	Requests int
 	At       time.Time
@@ -48,21 +48,21 @@
 func (l *Loads) Begin(now time.Time, u *traffic.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entry(now, traffic.ShortHash(u.Hash)).own++
+	l.entry(now, u.ShortHash()).own++
 }
 
 // End counts a request of this host no longer.
 func (l *Loads) End(now time.Time, u *traffic.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entry(now, traffic.ShortHash(u.Hash)).own--
+	l.entry(now, u.ShortHash()).own--
 }
 
 // Told takes in what an upstream said in an answer to this host.
 func (l *Loads) Told(now time.Time, u *traffic.Upstream, told traffic.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entry(now, traffic.ShortHash(u.Hash))
+	e := l.entry(now, u.ShortHash())
 	e.take(Told{Requests: told.Running + told.Waiting, At: now}, false)
 }
 
@@ -107,7 +107,7 @@
 func (l *Loads) Own(u *traffic.Upstream) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e, ok := l.byHash[traffic.ShortHash(u.Hash)]; ok {
+	if e, ok := l.byHash[u.ShortHash()]; ok {
 		return e.own
 	}
 	return 0
@@ -132,7 +132,7 @@
 }
 
 func (l *Loads) estimate(now time.Time, u *traffic.Upstream) float64 {
-	e, ok := l.byHash[traffic.ShortHash(u.Hash)]
+	e, ok := l.byHash[u.ShortHash()]
 	if !ok {
 		return 0
 	}
--- a/jackdawd/internal/placement/warmth.go
+++ b/jackdawd/internal/placement/warmth.go
@@ -22,7 +22,7 @@
 
 // place is an upstream that has a prompt cached.
 type place struct {
-	id     string
+	start  traffic.Start
 	usedAt time.Time
 }
 
@@ -44,14 +44,14 @@
 }
 
 // Used takes in that an upstream has answered a request with the prompt.
-func (w *Warmth) Used(now time.Time, key uint64, id string) {
+func (w *Warmth) Used(now time.Time, key uint64, start traffic.Start) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old, _ := w.places.Get(key)
 	kept := make([]place, 1, rememberedPlaces)
-	kept[0] = place{id: id, usedAt: now}
+	kept[0] = place{start: start, usedAt: now}
 	for _, p := range old {
-		if p.id != id && len(kept) < rememberedPlaces {
+		if p.start != start && len(kept) < rememberedPlaces {
 			kept = append(kept, p)
 		}
 	}
@@ -82,11 +82,12 @@
 	w.mu.Lock()
 	places, _ := w.places.Get(key)
 	w.mu.Unlock()
-	if slices.ContainsFunc(places, func(p place) bool { return p.id == to.ID && now.Sub(p.usedAt) < warmFor }) {
+	if slices.ContainsFunc(places, func(p place) bool { return p.start == to.Start() && now.Sub(p.usedAt) < warmFor }) {
 		return nil
 	}
 	for _, p := range places {
-		if u, ok := pool.Listed(p.id); ok && now.Sub(p.usedAt) < warmFor {
+		// One that has started again under its identifier has nothing cached.
+		if u, ok := pool.Listed(p.start.ID); ok && u.Start() == p.start && now.Sub(p.usedAt) < warmFor {
 			return u
 		}
 	}
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -57,8 +57,8 @@
 	Age() time.Duration
 	HonorsKeys() bool
 	Current() bool
-	Observe(id string, x control.Experience)
-	Lost(id string)
+	Observe(start traffic.Start, x control.Experience)
+	Lost(start traffic.Start)
 }
 
 // Options are the parts that a handler is made of.
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -42,7 +42,7 @@
 	// fetchFrom is the engine that the one chosen fetches the prompt from, or nil.
 	fetchFrom *traffic.Upstream
 	// tried names the upstreams that were sent the request or could not be reached.
-	tried []string
+	tried []traffic.Start
 	// sent counts the upstreams that were sent the request.
 	sent int
 	// mayHaveRun is set once an upstream may have executed the request.
@@ -178,7 +178,7 @@
 	var far []*traffic.Upstream
 	for _, u := range j.snapshot.Upstreams(j.pool.Name) {
 		switch {
-		case slices.Contains(j.tried, u.ID) || !u.Serves(j.request.Model):
+		case slices.Contains(j.tried, u.Start()) || !u.Serves(j.request.Model):
 		case j.snapshot.Avoided(u.ID):
 			avoided = append(avoided, u)
 		case !j.Near(u.FailureDomain):
@@ -311,7 +311,7 @@
 // call returns the request as it goes to an upstream.
 func (j *job) call(u *traffic.Upstream) exchange.Call {
 	call := exchange.Call{
-		Address: u.Address, ID: j.request.ID, Method: j.r.Method, Target: target(j.r), Host: j.r.Host,
+		Address: u.Address, Upstream: u.Start(), ID: j.request.ID, Method: j.r.Method, Target: target(j.r), Host: j.r.Host,
 		Header: j.Protocol.Forwarded(j.r.Header, j.hop(u)), Body: j.body,
 		MaxConnections: j.pool.MaxConnections / connectionShare,
 		HeadWithin:     j.firstWithin(j.sent + 1),
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -54,7 +54,7 @@
 
 // try sends the request to an upstream and its answer to the caller.
 func (j *job) try(ctx context.Context, u *traffic.Upstream) result {
-	j.tried = append(j.tried, u.ID)
+	j.tried = append(j.tried, u.Start())
 	j.Loads.Begin(time.Now(), u)
 	defer func() { j.Loads.End(time.Now(), u) }()
 	j.watch = j.watchOver(ctx, u)
@@ -73,7 +73,7 @@
 	switch {
 	case head.NotRun && head.Upstream != "" && head.Upstream != u.ID:
 		j.sent--
-		j.Members.Lost(u.ID)
+		j.Members.Lost(u.Start())
 		return result{verdict: replaced}
 	case head.NotRun:
 		j.observe(ctx, u, control.Broken)
@@ -109,7 +109,7 @@
 // observed tells what the try says of the upstream, and returns its result.
 func (j *job) observed(ctx context.Context, u *traffic.Upstream, r result) result {
 	if r.verdict == answered && j.cached {
-		j.Warmth.Used(time.Now(), j.key, u.ID)
+		j.Warmth.Used(time.Now(), j.key, u.Start())
 	}
 	switch r.verdict {
 	case callerLeft:
@@ -127,7 +127,7 @@
 // the call like a failure would, and speaks against nobody.
 func (j *job) observe(ctx context.Context, u *traffic.Upstream, x control.Experience) {
 	if j.watch.stop() && (x == control.Good || ctx.Err() == nil) {
-		j.Members.Observe(u.ID, x)
+		j.Members.Observe(u.Start(), x)
 	}
 }
 
--- a/jackdawd/internal/relay/watch.go
+++ b/jackdawd/internal/relay/watch.go
@@ -27,7 +27,7 @@
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(max(silentTargets*j.route.Target, leastSilence), func() {
 		if !j.overloaded(u) && w.stop() && ctx.Err() == nil {
-			j.Members.Observe(u.ID, control.Silent)
+			j.Members.Observe(u.Start(), control.Silent)
 		}
 	})
 	return w
