--- a/jackdawd/internal/control/evidence.go
+++ b/jackdawd/internal/control/evidence.go
@@ -1,6 +1,9 @@
 package control
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // An Experience is how one request at another host or upstream went.
 type Experience string
@@ -43,8 +46,12 @@
 	// tellFrom is the score from which other hosts are told, tellFor for how long after the last failure.
 	tellFrom = 1
 	tellFor  = 3 * time.Second
-	// maxAvoidedShare is the part of a group that evidence may take out: 1 in 3.
+	// maxAvoidedShare is the part of a group that evidence may take out: 1 in 3. Those that
+	// do not answer at all come on top.
 	maxAvoidedShare = 3
+	// answersFor is how long an answer shows that this host's own network is sound: two
+	// targets of the slowest classes.
+	answersFor = 2 * time.Second
 )
 
 // weights is what each experience adds to the score. Requests that fail wherever they run
@@ -57,12 +64,16 @@
 	records map[string]*record
 	// others are the scores that other hosts have told, added up.
 	others map[string]float64
+	// answered is when each host answered last.
+	answered map[string]time.Time
 }
 
 // record is what this host has seen of one other.
 type record struct {
 	score     float64
 	successes int
+	// unanswered is how many requests in a row had no answer.
+	unanswered int
 	// failedAt is when it failed last.
 	failedAt  time.Time
 	avoidance time.Duration
@@ -71,11 +82,14 @@
 
 // NewEvidence returns an evidence without experience.
 func NewEvidence() *Evidence {
-	return &Evidence{records: map[string]*record{}}
+	return &Evidence{records: map[string]*record{}, answered: map[string]time.Time{}}
 }
 
 // Observe takes in how a request at a host went, and reports whether what to avoid has changed.
 func (e *Evidence) Observe(now time.Time, name string, x Experience) bool {
+	if x == Good {
+		e.answered[name] = now
+	}
 	r, known := e.records[name]
 	if !known {
 		if x == Good {
@@ -87,6 +101,7 @@
 	if x == Good {
 		r.score = max(r.score-forgiveness, -trust)
 		r.successes++
+		r.unanswered = 0
 		// A flapping host succeeds now and then. Forgetting its failures at
 		// once would send its chats there and back at every flap.
 		if r.successes >= successesToTrust {
@@ -95,6 +110,10 @@
 		return false
 	}
 	r.successes, r.failedAt = 0, now
+	r.unanswered++
+	if x == Failed {
+		r.unanswered = 0
+	}
 	if now.Before(r.until) {
 		// What was sent before it was avoided still fails, which says nothing new.
 		return false
@@ -123,19 +142,31 @@
 // Told takes in the scores of all other hosts, added up; they replace those told before.
 func (e *Evidence) Told(scores map[string]float64) { e.others = scores }
 
-// Avoid returns the names of a group that speak for avoiding: none if they are
-// more than a third of it.
+// Avoid returns the names of a group that evidence speaks against: those that do not
+// answer at all, and of the others those that fail, unless they are more than a third.
 func (e *Evidence) Avoid(now time.Time, group []string) map[string]bool {
-	avoid := map[string]bool{}
+	avoid, failing := map[string]bool{}, map[string]bool{}
+	sound := false
 	for _, name := range group {
-		if r, ok := e.records[name]; ok && now.Before(r.until) {
+		r, ok := e.records[name]
+		switch {
+		case ok && now.Before(r.until) && r.unanswered >= scoreToAvoid:
 			avoid[name] = true
+		case ok && now.Before(r.until):
+			failing[name] = true
 		}
+		answered, ever := e.answered[name]
+		sound = sound || (!avoid[name] && ever && now.Sub(answered) < answersFor)
 	}
-	// When this host's own network fails, everybody else seems down. Dropping
-	// them all would leave no upstream; keeping them lets each try decide.
-	if len(avoid)*maxAvoidedShare > len(group) {
-		return nil
+	// When this host's own network fails, everybody else seems down. Dropping them all
+	// would leave no upstream; keeping them lets each try decide. As long as some answer
+	// it is sound, and those that do not are down: with six engines in ten lost, six
+	// requests in ten were sent to these until their entries lapsed.
+	if !sound && len(avoid)*maxAvoidedShare > len(group) {
+		avoid = map[string]bool{}
+	}
+	if len(failing)*maxAvoidedShare <= len(group)-len(avoid) {
+		maps.Copy(avoid, failing)
 	}
 	return avoid
 }
@@ -144,6 +175,7 @@
 func (e *Evidence) Drop(name string) {
 	delete(e.records, name)
 	delete(e.others, name)
+	delete(e.answered, name)
 }
 
 // Forget drops what is known of hosts that are no longer listed.
@@ -153,4 +185,9 @@
 			delete(e.records, name)
 		}
 	}
+	for name := range e.answered {
+		if !listed[name] {
+			delete(e.answered, name)
+		}
+	}
 }
--- a/jackdawd/internal/control/evidence_test.go
+++ b/jackdawd/internal/control/evidence_test.go
@@ -53,6 +53,33 @@
 	require.Empty(t, e.Avoid(noon, group))
 }
 
+// Most engines go dark at once while the rest answer. Requests that were sent to the
+// dark ones meanwhile end with nothing, so that all of them are avoided, not a third.
+func TestMostAreLost(t *testing.T) {
+	e := NewEvidence()
+	for _, name := range group[:3] {
+		e.Observe(noon, name, Good)
+		fail(e, noon, name, scoreToAvoid)
+	}
+	require.Empty(t, e.Avoid(noon, group), "without an answer it may be this host's own network")
+	e.Observe(noon, "engine-4", Good)
+	require.Equal(t, map[string]bool{"engine-1": true, "engine-2": true, "engine-3": true}, e.Avoid(noon, group))
+	require.Empty(t, e.Avoid(noon.Add(answersFor), group))
+}
+
+// All engines answer that they fail part of what they get. They are up, and taking most
+// of them out would put their load on the rest.
+func TestFailingAnswersTakeOutAThirdAtMost(t *testing.T) {
+	e := NewEvidence()
+	for _, name := range group[:2] {
+		for range 5 {
+			e.Observe(noon, name, Failed)
+		}
+	}
+	e.Observe(noon, "engine-4", Good)
+	require.Empty(t, e.Avoid(noon, group))
+}
+
 func TestTrustReturns(t *testing.T) {
 	e := NewEvidence()
 	fail(e, noon, "engine-1", scoreToAvoid)
