--- /dev/null
+++ b/jackdawd/internal/admission/controller_test.go
@@ -0,0 +1,140 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/placement"
+)
+
+var (
+	noon   = time.Unix(1_800_000_000, 0)
+	engine = &traffic.Upstream{ID: "engine-1", Slots: 8}
+)
+
+func request(class string, rank int) Request {
+	return Request{Pool: "reader", Class: class, Rank: rank, Target: 400 * time.Millisecond}
+}
+
+// served plays a request that begins and ends after the times given.
+func served(c *Controller, now time.Time, r Request, begins, took time.Duration) {
+	run := c.Send(now, r, engine.Start(), 0)
+	run.Began(now.Add(begins))
+	run.Ended(now.Add(took), true)
+}
+
+func delay(c *Controller, now time.Time, r Request, b placement.Backlog) time.Duration {
+	return c.Delays(now, r, []*traffic.Upstream{engine}, []placement.Backlog{b})[0]
+}
+
+// Four requests wait where eight run, each for a second: places become free each 125 ms.
+func TestDelayOfAQueue(t *testing.T) {
+	c := NewController()
+	served(c, noon, request("sort", 0), 10*time.Millisecond, time.Second)
+	require.InDelta(t, 0.5, delay(c, noon, request("sort", 0), placement.Backlog{Running: 8, Waiting: 4}).Seconds(), 0.01)
+	require.Zero(t, delay(c, noon, request("sort", 0), placement.Backlog{Running: 8}))
+}
+
+// Only less urgent requests had to wait of late. An urgent one goes before what waits.
+func TestUrgentRequestsDoNotWaitBehindOthers(t *testing.T) {
+	c, now := NewController(), noon
+	for range 20 {
+		served(c, now, request("sort", 0), 10*time.Millisecond, time.Second)
+		served(c, now, request("tag", 2), 10*time.Millisecond, time.Second)
+	}
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		served(c, now, request("sort", 0), 10*time.Millisecond, time.Second)
+		served(c, now, request("tag", 2), 700*time.Millisecond, time.Second)
+	}
+	queue := placement.Backlog{Running: 8, Waiting: 8}
+	require.Less(t, delay(c, now, request("sort", 0), queue), 50*time.Millisecond)
+	require.Greater(t, delay(c, now, request("tag", 2), queue), 700*time.Millisecond)
+}
+
+// An engine goes dark and tells nothing any more. A request that has waited there beyond
+// its target shows it to those that are no more urgent; once it has gone, nothing does.
+func TestDelayAtASilentUpstream(t *testing.T) {
+	c := NewController()
+	run := c.Send(noon, request("sort", 1), engine.Start(), 0)
+	require.Zero(t, delay(c, noon.Add(300*time.Millisecond), request("sort", 1), placement.Backlog{}))
+	late := noon.Add(time.Second)
+	require.Equal(t, time.Second, delay(c, late, request("sort", 1), placement.Backlog{}))
+	require.Zero(t, delay(c, late, request("urgent", 0), placement.Backlog{}))
+	run.Ended(late, false)
+	require.Zero(t, delay(c, late, request("sort", 1), placement.Backlog{}))
+}
+
+// Requests of a class wait for ever more urgent ones. It is owed a tenth of the places.
+func TestLeastShare(t *testing.T) {
+	c := NewController()
+	require.Equal(t, Usual, c.Precedence(noon, request("tag", 2)), "there is no overload")
+	c.Refused(noon, request("tag", 2), engine.Start())
+	for range 20 {
+		c.Send(noon, request("sort", 0), engine.Start(), 0)
+	}
+	require.Equal(t, Owed, c.Precedence(noon, request("tag", 2)))
+	for range 3 {
+		c.Send(noon, request("tag", 2), engine.Start(), 0)
+	}
+	require.Equal(t, Usual, c.Precedence(noon, request("tag", 2)))
+}
+
+// A more urgent request was refused for an upstream. For a while less urgent ones are as
+// well, or they would take the places that it was refused for; elsewhere they are not.
+func TestLessUrgentRequestsStandBehind(t *testing.T) {
+	c := NewController()
+	c.Refused(noon, request("sort", 1), engine.Start())
+	require.True(t, c.Behind(noon, request("tag", 2), engine.Start()))
+	require.False(t, c.Behind(noon, request("sort", 1), engine.Start()))
+	require.False(t, c.Behind(noon, request("tag", 2), traffic.Start{ID: "engine-2"}))
+	require.False(t, c.Behind(noon.Add(refusedFor), request("tag", 2), engine.Start()))
+}
+
+func TestLengthOfAnOverload(t *testing.T) {
+	c := NewController()
+	require.Zero(t, c.Overloaded(noon, "reader"))
+	for i := range 5 {
+		c.Refused(noon.Add(time.Duration(i)*900*time.Millisecond), request("sort", 0), engine.Start())
+	}
+	end := noon.Add(4 * 900 * time.Millisecond)
+	require.Equal(t, 3600*time.Millisecond, c.Overloaded(end, "reader"))
+	require.Zero(t, c.Overloaded(end.Add(overloadGap+1), "reader"))
+	c.Refused(end.Add(5*time.Second), request("sort", 0), engine.Start())
+	require.Zero(t, c.Overloaded(end.Add(5*time.Second), "reader"), "another overload")
+}
+
+func TestTimeThatACallerHasWaited(t *testing.T) {
+	c := NewController()
+	require.Zero(t, c.Waited("sort", 12*time.Second))
+	require.Equal(t, 3*time.Second, c.Waited("sort", 9*time.Second))
+	require.Zero(t, c.Waited("tag", 3*time.Second))
+}
+
+func TestRefusalsAreForgotten(t *testing.T) {
+	c := NewController()
+	for i := range 100 {
+		c.Refused(noon.Add(time.Duration(i)*time.Second), request("sort", 0), traffic.Start{ID: "engine", Incarnation: traffic.Incarnation(i)})
+	}
+	require.LessOrEqual(t, len(c.refused), 2)
+	for range 3 {
+		served(c, noon, request("sort", 0), time.Millisecond, time.Second)
+	}
+	require.Empty(t, c.waiting)
+}
+
+func BenchmarkDelays(b *testing.B) {
+	c := NewController()
+	upstreams, backlogs := make([]*traffic.Upstream, 140), make([]placement.Backlog, 140)
+	for i := range upstreams {
+		upstreams[i] = &traffic.Upstream{ID: string(rune('a' + i)), Slots: 64}
+		backlogs[i] = placement.Backlog{Running: 64, Waiting: float64(i % 9)}
+	}
+	c.Send(noon, request("sort", 0), upstreams[0].Start(), 0)
+	for b.Loop() {
+		c.Delays(noon, request("sort", 0), upstreams, backlogs)
+	}
+}
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/admission"
 	"jackdawhinge/jackdawd/internal/exchange"
 	"jackdawhinge/jackdawd/internal/fleet"
 	"jackdawhinge/jackdawd/internal/membership"
@@ -121,7 +122,7 @@
 	h.budgets = relay.NewBudgets(o.Bounds.RetryRatio)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Members: h.keeper, Client: h.client, Loads: h.loads, Warmth: placement.NewWarmth(),
-		Budgets: h.budgets, Journal: stories.NewWriter(o.Usual, o.Unusual, o.Meter),
+		Budgets: h.budgets, Admission: admission.NewController(), Journal: stories.NewWriter(o.Usual, o.Unusual, o.Meter),
 		FailureDomain: o.FailureDomain, Near: o.Near, MostBodies: o.MostBodies, LoadMultiple: func() float64 { return h.bounds.Load().LoadMultiple },
 	})
 	h.registerGauges(o.Meter)
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -73,11 +73,11 @@
 }
 
 // Loads are loads of upstreams, packed: for each four bytes of the upstream's hash,
-// one of requests and one of age.
+// one of requests, one of those that wait and one of age.
 type Loads []byte
 
 const (
-	loadBytes = 6
+	loadBytes = 7
 	// loadAge is the unit of ages.
 	loadAge  = 20 * time.Millisecond
 	mostByte = 255
@@ -92,7 +92,7 @@
 			continue
 		}
 		out = binary.LittleEndian.AppendUint32(out, t.Upstream)
-		out = append(out, byte(min(t.Requests, mostByte)), byte(age))
+		out = append(out, byte(min(t.Requests, mostByte)), byte(min(t.Waiting, mostByte)), byte(age))
 	}
 	return out
 }
@@ -102,7 +102,7 @@
 	var out []placement.Told
 	for len(l) >= loadBytes {
 		out = append(out, placement.Told{
-			Upstream: binary.LittleEndian.Uint32(l), Requests: int(l[4]), At: now.Add(-time.Duration(l[5]) * loadAge),
+			Upstream: binary.LittleEndian.Uint32(l), Requests: int(l[4]), Waiting: int(l[5]), At: now.Add(-time.Duration(l[6]) * loadAge),
 		})
 		l = l[loadBytes:]
 	}
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/routing"
@@ -25,6 +26,10 @@
 	// Upstreams are those that may take the request, and Loads what each is thought to have.
 	Upstreams []*traffic.Upstream
 	Loads     []float64
+	// Delays are how long the request would wait at each, and Patience how long it may; an
+	// upstream where it would wait longer is full. Without delays none is.
+	Delays   []time.Duration
+	Patience time.Duration
 	// Key is the hash of the prompt that the request shares with others; Cached is set if it has one.
 	Key    uint64
 	Cached bool
@@ -47,25 +52,61 @@
 	return c.lightest()
 }
 
-// warmest returns the first upstream in the prompt's own order that is not far
-// above the mean. Every host has the same order, so that without overload all
-// requests of a prompt meet at one engine.
+// warmest returns the upstream for a request with a prompt: the first in the prompt's own
+// order that is not far above the mean, or the second one if the request can begin in
+// time there only. Every host has the same order, so that without overload all requests
+// of a prompt meet at one engine.
+//
+// While engines are full each place that becomes free is anywhere. A prompt that follows
+// them is read at each engine again, which then has less time for answers: in a surge of
+// twelve times the usual engines read three times as many parts of prompts again as with
+// one place for a prompt.
 func (c Choice) warmest() *traffic.Upstream {
+	first, second := c.firstTwo()
+	switch {
+	case first < 0:
+		return c.lightest()
+	case c.Full(first) && second >= 0 && !c.Full(second) && c.Loads[second] < unevenShare*c.Loads[first]:
+		return c.Upstreams[second]
+	}
+	return c.Upstreams[first]
+}
+
+// firstTwo returns the indexes of the first two upstreams in the prompt's own order that
+// are not far above the mean, -1 for none.
+func (c Choice) firstTwo() (first, second int) {
 	bound := c.Bound()
-	var first *traffic.Upstream
-	var highest uint64
+	first, second = -1, -1
+	var highest, next uint64
 	for i, u := range c.Upstreams {
 		if c.Loads[i]+1 > bound {
 			continue
 		}
-		if score := routing.Score(c.Key, u.Hash); first == nil || score > highest {
-			first, highest = u, score
+		score := routing.Score(c.Key, u.Hash)
+		switch {
+		case first < 0 || score > highest:
+			first, second, highest, next = i, first, score, highest
+		case second < 0 || score > next:
+			second, next = i, score
 		}
 	}
-	if first == nil {
-		return c.lightest()
+	return first, second
+}
+
+// unevenShare is the part of the load of a prompt's first engine that the second may have
+// to take the prompt over.
+const unevenShare = 0.5
+
+// Full reports whether the request would wait for too long at an upstream.
+func (c Choice) Full(i int) bool { return c.Delays != nil && c.Delays[i] > c.Patience }
+
+func (c Choice) allFull() bool {
+	for i := range c.Upstreams {
+		if !c.Full(i) {
+			return false
+		}
 	}
-	return first
+	return true
 }
 
 // Rank returns upstreams in a prompt's own order, the one where it is usually cached first.
@@ -107,7 +148,11 @@
 	var best *traffic.Upstream
 	var bestCost float64
 	var bestTie uint64
+	allFull := c.allFull()
 	for i, u := range c.Upstreams {
+		if c.Full(i) && !allFull {
+			continue
+		}
 		cost := c.Loads[i]
 		if u.FailureDomain != c.FailureDomain {
 			cost += farCost
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -24,16 +24,21 @@
 	// Upstream is the short hash of its start.
 	Upstream uint32
 	Requests int
-	At       time.Time
+	// Waiting is how many of them it had not begun to work on.
+	Waiting int
+	At      time.Time
 }
 
 // load is one upstream's: this host's own requests, and what other hosts had
 // there when the upstream last told.
 type load struct {
-	own    int
-	others float64
-	told   int
-	toldAt time.Time
+	own     int
+	others  float64
+	told    int
+	waiting int
+	toldAt  time.Time
+	// ownThen is how many requests this host had there when it was told.
+	ownThen int
 	// fromAbove is set if what was told came from the host that this one exchanges loads with.
 	fromAbove bool
 	usedAt    time.Time
@@ -63,13 +68,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entry(now, u.ShortHash())
-	e.take(Told{Requests: told.Running + told.Waiting, At: now}, false)
+	e.take(Told{Requests: told.Running + told.Waiting, Waiting: told.Waiting, At: now}, false)
 }
 
 // take takes in what an upstream told.
 func (e *load) take(t Told, fromAbove bool) {
 	e.others = max(0, float64(t.Requests-e.own))
-	e.told, e.toldAt, e.fromAbove = t.Requests, t.At, fromAbove
+	e.told, e.waiting, e.toldAt, e.fromAbove = t.Requests, t.Waiting, t.At, fromAbove
+	e.ownThen = e.own
 }
 
 // Merge takes in what upstreams told other hosts, where it is newer; above is set if it
@@ -92,7 +98,7 @@
 	var out []Told
 	for hash, e := range l.byHash {
 		if now.Sub(e.toldAt) < within && (above || !e.fromAbove) {
-			out = append(out, Told{Upstream: hash, Requests: e.told, At: e.toldAt})
+			out = append(out, Told{Upstream: hash, Requests: e.told, Waiting: e.waiting, At: e.toldAt})
 		}
 	}
 	l.mu.Unlock()
@@ -142,6 +148,50 @@
 	return float64(e.own) + e.others*max(left, 0)
 }
 
+// A Backlog is what an upstream has to do before it begins with the next request.
+type Backlog struct {
+	// Running is how many requests it works on, Waiting how many it has not begun.
+	Running float64
+	Waiting float64
+	// Crowded is set if requests waited there when it told last, however long ago.
+	Crowded bool
+}
+
+// Backlogs returns the backlog of each upstream as far as this host knows.
+func (l *Loads) Backlogs(now time.Time, upstreams []*traffic.Upstream) []Backlog {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Backlog, len(upstreams))
+	for i, u := range upstreams {
+		out[i] = l.backlog(now, u)
+	}
+	return out
+}
+
+// backlog returns what the upstream told last, with this host's requests that have come and ended since.
+func (l *Loads) backlog(now time.Time, u *traffic.Upstream) Backlog {
+	e, ok := l.byHash[u.ShortHash()]
+	if !ok {
+		return Backlog{}
+	}
+	left := max(1-float64(now.Sub(e.toldAt))/float64(toldLifetime), 0)
+	if left == 0 {
+		return Backlog{Running: float64(e.own), Crowded: e.waiting > 0}
+	}
+	running := float64(e.told - e.waiting)
+	since := float64(e.own - e.ownThen)
+	if since > 0 {
+		// Others have sent as much for their part.
+		since *= max(float64(e.told)/float64(max(e.ownThen, 1)), 1)
+	}
+	waiting := float64(e.waiting)*left + since
+	if e.waiting == 0 {
+		// What came since found a place, as long as there are places.
+		waiting = min(waiting, running+since-float64(u.Slots))
+	}
+	return Backlog{Running: running, Waiting: max(waiting, 0), Crowded: e.waiting > 0}
+}
+
 // Forget drops what is known of upstreams that were not used for a while.
 func (l *Loads) Forget(now time.Time) {
 	l.mu.Lock()
--- /dev/null
+++ b/jackdawd/internal/relay/admission.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/admission"
+	"jackdawhinge/jackdawd/internal/work"
+)
+
+const (
+	// patienceShare is the part of the time up to its target that a request may be expected to
+	// wait. What hosts know of an engine's queue is half a second old, in which others have sent
+	// as much again; and the shorter the queues, the sooner service is whole after a surge.
+	// With all of the time, half and a quarter of it one kind of request in a surge of twelve
+	// times the usual was answered in time 882, 1,090 and 1,154 times of 2,070.
+	patienceShare = 0.25
+	// latePatienceShare is the part of its whole target that a request may wait whose target
+	// can hardly be met any more: it still has a use, but not in the place of one that can be in time.
+	latePatienceShare = 0.0625
+)
+
+// beginsTooLate is the reason for which a request that found no room was not tried.
+const beginsTooLate = "begins-too-late"
+
+// admissionRequest returns what admission must know of the request.
+func (j *job) admissionRequest() admission.Request {
+	return admission.Request{Pool: j.pool.Name, Class: j.route.Name, Rank: j.urgency(), Target: j.route.Target}
+}
+
+// patience returns how long the request may wait at an upstream and still begin in time.
+func (j *job) patience() time.Duration {
+	if j.begun {
+		// The rest of an answer that the caller has begun to read had its turn.
+		return longestTime
+	}
+	inTime := j.route.Target - j.waited - time.Since(j.arrived) - j.Admission.Begins(j.route.Name)
+	return max(time.Duration(patienceShare*float64(inTime)), time.Duration(latePatienceShare*float64(j.route.Target)))
+}
+
+// urgency returns the rank of the request; one of a class that is owed its least share is as urgent as any.
+func (j *job) urgency() int {
+	if j.precedence == admission.Owed {
+		return 0
+	}
+	return urgency(j.workspace, j.route)
+}
+
+// delays returns how long the request would wait at each upstream.
+func (j *job) delays(upstreams []*traffic.Upstream) []time.Duration {
+	now := time.Now()
+	return j.Admission.Delays(now, j.admissionRequest(), upstreams, j.Loads.Backlogs(now, upstreams))
+}
+
+// overload returns the refusal of a request that would wait for too long.
+func (j *job) overload(u *traffic.Upstream, delay time.Duration) *work.Refusal {
+	now := time.Now()
+	j.Admission.Refused(now, j.admissionRequest(), u.Start())
+	after := max(delay, j.Admission.Overloaded(now, j.pool.Name), retryFull)
+	return work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "it would begin too late, after %s", delay.Round(time.Millisecond)).Retry(after)
+}
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/admission"
 	"jackdawhinge/jackdawd/internal/control"
 	"jackdawhinge/jackdawd/internal/exchange"
 	"jackdawhinge/jackdawd/internal/membership"
@@ -69,6 +70,7 @@
 	Loads         *placement.Loads
 	Warmth        *placement.Warmth
 	Budgets       *Budgets
+	Admission     *admission.Controller
 	Journal       Journal
 	FailureDomain string
 	// Near reports whether a failure domain lies in this host's region.
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/admission"
 	"jackdawhinge/jackdawd/internal/events"
 	"jackdawhinge/jackdawd/internal/exchange"
 	"jackdawhinge/jackdawd/internal/membership"
@@ -36,6 +37,14 @@
 	reserved int64
 
 	pool traffic.Pool
+	// waited is how long before it arrived the caller had come first.
+	waited time.Duration
+	// delay is how long the request is expected to wait at the upstream it was placed at.
+	delay time.Duration
+	// precedence is how it stands to others that want the same upstreams.
+	precedence admission.Precedence
+	// full is set once the request was found to begin too late everywhere.
+	full *work.Refusal
 	// key is the hash of the prompt that the request shares with others, if cached is set.
 	key    uint64
 	cached bool
@@ -113,6 +122,7 @@
 	j.pool, _ = j.snapshot.Configuration().Pool(j.route.Pick(j.key))
 	j.cached = j.cached && j.pool.Engine
 	j.Budgets.Earn(j.pool.Name)
+	j.waited = j.Admission.Waited(j.route.Name, j.request.TimeLeft)
 	var last result
 	for range maxTries {
 		upstream := j.place()
@@ -148,11 +158,14 @@
 	j.snapshot = j.Members.Snapshot()
 	fit, avoided := j.candidates()
 	spokenAgainst := len(avoided)
+	j.precedence = admission.Usual
+	j.precedence = j.Admission.Precedence(time.Now(), j.admissionRequest())
 	if len(fit) == 0 {
 		fit = avoided
 	}
 	choice := placement.Choice{
 		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), Key: j.key, Cached: j.cached,
+		Delays: j.delays(fit), Patience: j.patience(),
 		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple(), Tie: rand.Uint64(),
 	}
 	upstream := placement.Choose(choice)
@@ -160,8 +173,15 @@
 		j.note(Step{Decision: Stopped, Reason: "no-upstream", Avoided: spokenAgainst})
 		return nil
 	}
+	at := slices.Index(fit, upstream)
+	j.delay = choice.Delays[at]
+	if choice.Full(at) || (!j.begun && j.Admission.Behind(time.Now(), j.admissionRequest(), upstream.Start())) {
+		j.full = j.overload(upstream, j.delay)
+		j.note(Step{Decision: Stopped, Upstream: upstream.ID, Reason: beginsTooLate, Avoided: spokenAgainst, Delay: j.delay, Patience: choice.Patience})
+		return nil
+	}
 	j.fetchFrom = j.source(upstream)
-	placed := Step{Decision: Placed, Upstream: upstream.ID, Candidates: len(fit), Avoided: spokenAgainst, Mean: choice.Mean(), Cached: j.cached}
+	placed := Step{Decision: Placed, Upstream: upstream.ID, Candidates: len(fit), Avoided: spokenAgainst, Mean: choice.Mean(), Cached: j.cached, Delay: j.delay, Patience: choice.Patience}
 	placed.Load = j.Loads.Estimate(time.Now(), upstream)
 	if j.fetchFrom != nil {
 		placed.FetchFrom = j.fetchFrom.ID
@@ -265,6 +285,8 @@
 		return r
 	case j.mayHaveRun:
 		return work.Uncertain(work.UpstreamFailed, "no whole answer came: %v", last.err)
+	case j.full != nil:
+		return j.full
 	case len(j.tried) == 0:
 		return work.Refuse(http.StatusServiceUnavailable, work.NoUpstream, "no upstream takes requests").Retry(retryLater)
 	case last.verdict == rejected:
@@ -289,7 +311,7 @@
 func (j *job) hop(u *traffic.Upstream) traffic.Hop {
 	hop := traffic.Hop{
 		Upstream: u.ID, Workspace: j.workspace.Name, TimeLeft: time.Until(j.deadline),
-		Urgency: urgency(j.workspace, j.route), ResumeAfter: j.split.LastID(),
+		Urgency: j.urgency(), ResumeAfter: j.split.LastID(),
 	}
 	if j.fetchFrom != nil {
 		hop.FetchFrom = j.fetchFrom.Address
--- a/jackdawd/internal/relay/journal.go
+++ b/jackdawd/internal/relay/journal.go
@@ -51,6 +51,9 @@
 	// Verdict and Err are how a try ended.
 	Verdict string
 	Err     error
+	// Delay is how long the request was expected to wait at the upstream, Patience how long it may.
+	Delay    time.Duration
+	Patience time.Duration
 	// Reason says why a request was not tried again.
 	Reason string
 	// ResumeAfter is the last event that the caller had when its stream went on elsewhere.
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -55,8 +55,15 @@
 // try sends the request to an upstream and its answer to the caller.
 func (j *job) try(ctx context.Context, u *traffic.Upstream) result {
 	j.tried = append(j.tried, u.Start())
-	j.Loads.Begin(time.Now(), u)
-	defer func() { j.Loads.End(time.Now(), u) }()
+	now := time.Now()
+	j.Loads.Begin(now, u)
+	run := j.Admission.Send(now, j.admissionRequest(), u.Start(), j.delay)
+	whole := false
+	defer func() {
+		now := time.Now()
+		j.Loads.End(now, u)
+		run.Ended(now, whole)
+	}()
 	j.watch = j.watchOver(ctx, u)
 	defer j.watch.stop()
 	call := j.call(u)
@@ -80,16 +87,21 @@
 		return result{verdict: rejected}
 	}
 	j.mayHaveRun = true
+	run.Began(time.Now())
 	streams := head.Events && answer.Status() == http.StatusOK
 	switch {
 	case answer.Status() < http.StatusMultipleChoices && !head.Sealed:
 		return j.observed(ctx, u, result{verdict: broken, err: errUnsealed})
 	case streams:
-		return j.observed(ctx, u, j.stream(ctx, answer))
+		r := j.stream(ctx, answer)
+		whole = r.verdict == answered
+		return j.observed(ctx, u, r)
 	case j.begun:
 		return j.observed(ctx, u, result{verdict: broken, err: errNoStream})
 	}
-	return j.observed(ctx, u, j.whole(ctx, answer))
+	r := j.whole(ctx, answer)
+	whole = r.verdict == answered
+	return j.observed(ctx, u, r)
 }
 
 // noAnswer judges a call that brought no head.
--- a/jackdawd/internal/relay/upstreams_test.go
+++ b/jackdawd/internal/relay/upstreams_test.go
@@ -218,6 +218,8 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go func() {
+					// The engines were not known to be full when the request came.
+					pause.For(ctx, 50*time.Millisecond)
 					for ; ctx.Err() == nil; pause.For(ctx, 100*time.Millisecond) {
 						for _, u := range f.handler.Members.Snapshot().Upstreams("reader") {
 							f.handler.Loads.Told(time.Now(), u, test.load)
@@ -232,3 +234,34 @@
 		})
 	}
 }
+
+// All engines tell of long queues. The request would begin long after its target, so that
+// its caller is told at once that it was not run and when to come back; it reaches no
+// engine. One that the queues let begin in time is served.
+func TestRequestThatWouldBeginTooLateIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		waiting int
+		status  int
+	}{
+		"long queues": {40, http.StatusServiceUnavailable},
+		"no queues":   {0, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+				for _, u := range f.handler.Members.Snapshot().Upstreams("reader") {
+					f.handler.Loads.Told(time.Now(), u, traffic.Load{Running: 8, Waiting: test.waiting, Slots: 8})
+				}
+				begin := time.Now()
+				a := f.do(f.stream("/digest/x", "r1", 1))
+				require.NoError(t, a.err)
+				require.Equal(t, test.status, a.status)
+				if test.status != http.StatusOK {
+					require.Zero(t, time.Since(begin))
+					require.Zero(t, f.runs("r1"))
+					require.NotEmpty(t, a.header.Get("Retry-After"))
+					require.Equal(t, beginsTooLate, f.journal.last().Steps[0].Reason)
+				}
+			})
+		})
+	}
+}
--- a/jackdawd/internal/stories/writer.go
+++ b/jackdawd/internal/stories/writer.go
@@ -98,6 +98,7 @@
 		f["pool"], f["version"], f["age"] = s.Pool, s.Version, s.Age.String()
 		f["candidates"], f["avoided"] = step.Candidates, step.Avoided
 		f["load"], f["mean"] = round(step.Load), round(step.Mean)
+		f["delay"], f["patience"] = step.Delay.String(), step.Patience.String()
 		if step.FetchFrom != "" {
 			f["fetch-from"] = step.FetchFrom
 		}
@@ -107,6 +108,9 @@
 		f["resume-after"] = step.ResumeAfter
 	case relay.Stopped:
 		f["reason"] = step.Reason
+		if step.Patience > 0 {
+			f["delay"], f["patience"] = step.Delay.String(), step.Patience.String()
+		}
 	}
 	if step.Err != nil {
 		f["error"] = step.Err.Error()
