--- a/jackdawd/internal/admission/controller.go
+++ b/jackdawd/internal/admission/controller.go
@@ -252,19 +252,14 @@
 	return k.longest - left
 }
 
-// Delays returns how long a request would wait at each upstream, whose backlogs are given.
-func (c *Controller) Delays(now time.Time, r Request, upstreams []*traffic.Upstream, backlogs []placement.Backlog) []time.Duration {
+// Delay returns how long a request would wait at an upstream with a backlog.
+func (c *Controller) Delay(now time.Time, r Request, at traffic.Start, backlog placement.Backlog) time.Duration {
 	rank := min(max(r.Rank, 0), ranks-1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(r.Pool)
-	perWaiting := p.shareUpTo(rank) * float64(p.expectedService())
-	out := make([]time.Duration, len(upstreams))
-	for i, u := range upstreams {
-		told := time.Duration(backlogs[i].Waiting * perWaiting / max(backlogs[i].Running, 1))
-		out[i] = max(told, c.waitedBefore(now, rank, u.Start(), backlogs[i].Crowded))
-	}
-	return out
+	told := p.shareUpTo(rank) * backlog.Waiting * float64(p.expectedService()) / max(backlog.Running, 1)
+	return max(time.Duration(told), c.waitedBefore(now, rank, at, backlog.Crowded))
 }
 
 // waitedBefore returns for how long a request that is as urgent has waited at an upstream, which a
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -26,9 +26,10 @@
 	// Upstreams are those that may take the request, and Loads what each is thought to have.
 	Upstreams []*traffic.Upstream
 	Loads     []float64
-	// Delays are how long the request would wait at each, and Patience how long it may; an
-	// upstream where it would wait longer is full. Without delays none is.
-	Delays   []time.Duration
+	// Delay returns how long the request would wait at an upstream, and Patience is how long it
+	// may; an upstream where it would wait longer is full. It is asked of few, and nil if no
+	// upstream is ever full.
+	Delay    func(*traffic.Upstream) time.Duration
 	Patience time.Duration
 	// Key is the hash of the prompt that the request shares with others; Cached is set if it has one.
 	Key    uint64
@@ -66,7 +67,7 @@
 	switch {
 	case first < 0:
 		return c.lightest()
-	case c.Full(first) && second >= 0 && !c.Full(second) && c.Loads[second] < unevenShare*c.Loads[first]:
+	case second >= 0 && c.Loads[second] < unevenShare*c.Loads[first] && c.Full(c.Upstreams[first]) && !c.Full(c.Upstreams[second]):
 		return c.Upstreams[second]
 	}
 	return c.Upstreams[first]
@@ -98,16 +99,7 @@
 const unevenShare = 0.5
 
 // Full reports whether the request would wait for too long at an upstream.
-func (c Choice) Full(i int) bool { return c.Delays != nil && c.Delays[i] > c.Patience }
-
-func (c Choice) allFull() bool {
-	for i := range c.Upstreams {
-		if !c.Full(i) {
-			return false
-		}
-	}
-	return true
-}
+func (c Choice) Full(u *traffic.Upstream) bool { return c.Delay != nil && c.Delay(u) > c.Patience }
 
 // Rank returns upstreams in a prompt's own order, the one where it is usually cached first.
 func Rank(key uint64, upstreams []*traffic.Upstream) []*traffic.Upstream {
@@ -143,23 +135,21 @@
 	return sum / float64(max(len(c.Loads), 1))
 }
 
-// lightest returns the upstream with the least load for its slots; one nearby is preferred.
+// lightest returns the upstream with the least load; one nearby is preferred, and one that is
+// full is taken only if all are.
 func (c Choice) lightest() *traffic.Upstream {
 	var best *traffic.Upstream
 	var bestCost float64
 	var bestTie uint64
-	allFull := c.allFull()
+	bestFull := true
 	for i, u := range c.Upstreams {
-		if c.Full(i) && !allFull {
-			continue
-		}
 		cost := c.Loads[i]
 		if u.FailureDomain != c.FailureDomain {
 			cost += farCost
 		}
 		tie := routing.Score(c.Tie, u.Hash)
-		if best == nil || cost < bestCost || (cost == bestCost && tie > bestTie) {
-			best, bestCost, bestTie = u, cost, tie
+		if full := c.Full(u); best == nil || (bestFull && !full) || (full == bestFull && (cost < bestCost || (cost == bestCost && tie > bestTie))) {
+			best, bestCost, bestTie, bestFull = u, cost, tie, full
 		}
 	}
 	return best
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -157,15 +157,11 @@
 	Crowded bool
 }
 
-// Backlogs returns the backlog of each upstream as far as this host knows.
-func (l *Loads) Backlogs(now time.Time, upstreams []*traffic.Upstream) []Backlog {
+// Backlog returns the backlog of an upstream as far as this host knows.
+func (l *Loads) Backlog(now time.Time, u *traffic.Upstream) Backlog {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]Backlog, len(upstreams))
-	for i, u := range upstreams {
-		out[i] = l.backlog(now, u)
-	}
-	return out
+	return l.backlog(now, u)
 }
 
 // backlog returns what the upstream told last, with this host's requests that have come and ended since.
--- a/jackdawd/internal/relay/admission.go
+++ b/jackdawd/internal/relay/admission.go
@@ -47,10 +47,10 @@
 	return urgency(j.workspace, j.route)
 }
 
-// delays returns how long the request would wait at each upstream.
-func (j *job) delays(upstreams []*traffic.Upstream) []time.Duration {
+// delayAt returns how long the request would wait at an upstream.
+func (j *job) delayAt(u *traffic.Upstream) time.Duration {
 	now := time.Now()
-	return j.Admission.Delays(now, j.admissionRequest(), upstreams, j.Loads.Backlogs(now, upstreams))
+	return j.Admission.Delay(now, j.admissionRequest(), u.Start(), j.Loads.Backlog(now, u))
 }
 
 // overload returns the refusal of a request that would wait for too long.
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -165,7 +165,7 @@
 	}
 	choice := placement.Choice{
 		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), Key: j.key, Cached: j.cached,
-		Delays: j.delays(fit), Patience: j.patience(),
+		Delay: j.delayAt, Patience: j.patience(),
 		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple(), Tie: rand.Uint64(),
 	}
 	upstream := placement.Choose(choice)
@@ -173,9 +173,8 @@
 		j.note(Step{Decision: Stopped, Reason: "no-upstream", Avoided: spokenAgainst})
 		return nil
 	}
-	at := slices.Index(fit, upstream)
-	j.delay = choice.Delays[at]
-	if choice.Full(at) || (!j.begun && j.Admission.Behind(time.Now(), j.admissionRequest(), upstream.Start())) {
+	j.delay = j.delayAt(upstream)
+	if j.delay > choice.Patience || (!j.begun && j.Admission.Behind(time.Now(), j.admissionRequest(), upstream.Start())) {
 		j.full = j.overload(upstream, j.delay)
 		j.note(Step{Decision: Stopped, Upstream: upstream.ID, Reason: beginsTooLate, Avoided: spokenAgainst, Delay: j.delay, Patience: choice.Patience})
 		return nil
