--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -9,6 +9,10 @@
 	"jackdawhinge/common/traffic"
 )
 
+// growthDoubt is how many requests more at an upstream make it as likely that a crowd comes as that
+// these came by chance.
+const growthDoubt = 4
+
 // toldLifetime is how long what an upstream told of its load says something of
 // other hosts' requests: about the time that an answer takes.
 const toldLifetime = 2 * time.Second
@@ -177,8 +181,10 @@
 	running := float64(e.told - e.waiting)
 	since := float64(e.own - e.ownThen)
 	if since > 0 {
-		// Others have sent as much for their part.
-		since *= max(float64(e.told)/float64(max(e.ownThen, 1)), 1)
+		// If more comes than goes, others have sent as much for their part; one request
+		// hardly shows that, several do.
+		others := max(float64(e.told)/float64(max(e.ownThen, 1))-1, 0)
+		since *= 1 + others*since/(since+growthDoubt)
 	}
 	waiting := float64(e.waiting)*left + since
 	if e.waiting == 0 {
--- a/jackdawd/internal/relay/admission.go
+++ b/jackdawd/internal/relay/admission.go
@@ -16,6 +16,9 @@
 	// With all of the time, half and a quarter of it one kind of request in a surge of twelve
 	// times the usual was answered in time 882, 1,090 and 1,154 times of 2,070.
 	patienceShare = 0.25
+	// servicePatienceShare is the same for plain services, which tell of their queues in each
+	// answer, every few milliseconds.
+	servicePatienceShare = 0.75
 	// latePatienceShare is the part of its whole target that a request may wait whose target
 	// can hardly be met any more: it still has a use, but not in the place of one that can be in time.
 	latePatienceShare = 0.0625
@@ -36,7 +39,11 @@
 		return longestTime
 	}
 	inTime := j.route.Target - j.waited - time.Since(j.arrived) - j.Admission.Begins(j.route.Name)
-	return max(time.Duration(patienceShare*float64(inTime)), time.Duration(latePatienceShare*float64(j.route.Target)))
+	share := servicePatienceShare
+	if j.pool.Engine {
+		share = patienceShare
+	}
+	return max(time.Duration(share*float64(inTime)), time.Duration(latePatienceShare*float64(j.route.Target)))
 }
 
 // urgency returns the rank of the request; one of a class that is owed its least share is as urgent as any.
