--- a/jackdawd/internal/admission/controller.go
+++ b/jackdawd/internal/admission/controller.go
@@ -57,6 +57,7 @@
 	// waits adds up by rank how long this host's requests had to wait, of late.
 	waits   [ranks]float64
 	waitsAt time.Time
+	demand  demand
 	// running counts this host's requests at the upstreams, runningOf those of each class.
 	running   int
 	runningOf map[string]int
@@ -80,6 +81,8 @@
 type Request struct {
 	Pool  string
 	Class string
+	// Workspace is whom it comes from.
+	Workspace string
 	// Rank is its urgency; 0 is the most urgent.
 	Rank int
 	// Target is how soon an answer should begin.
@@ -165,22 +168,41 @@
 	return c.class(class).begins
 }
 
-// Refused takes in that a request to a pool was refused for lack of room.
+// Refused takes in that a request was refused for lack of room at an upstream.
 func (c *Controller) Refused(now time.Time, r Request, at traffic.Start) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.pool(r.Pool)
+	c.pool(r.Pool).overloaded(now)
 	if c.refused[at] == nil {
 		c.forgetRefusals(now)
 		c.refused[at] = &refusals{}
 	}
 	c.refused[at][min(max(r.Rank, 0), ranks-1)] = now
+}
+
+// RefusedSurge takes in that a request of a workspace that surges was refused; others may
+// find room where it did not, less urgent ones included.
+func (c *Controller) RefusedSurge(now time.Time, pool string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pool(pool).overloaded(now)
+}
+
+// overloaded notes that there is an overload.
+func (p *pool) overloaded(now time.Time) {
 	if now.Sub(p.refusedAt) > overloadGap {
 		p.overloadedAt = now
 	}
 	p.refusedAt = now
 }
 
+// Arrived takes in that a request has come.
+func (c *Controller) Arrived(now time.Time, r Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pool(r.Pool).demand.add(now, r.Workspace)
+}
+
 // Precedence says how a request stands to the others of its pool.
 type Precedence string
 
@@ -188,6 +210,8 @@
 const (
 	// Usual requests are admitted if they can begin in time.
 	Usual Precedence = "usual"
+	// Surging requests are of a workspace that asks for many times its usual.
+	Surging Precedence = "surging"
 	// Owed requests are of a class that has less than its least share, and go first.
 	Owed Precedence = "owed"
 )
@@ -200,7 +224,10 @@
 	if now.Sub(p.refusedAt) > overloadGap {
 		return Usual
 	}
-	if float64(p.runningOf[r.Class]) < leastShare*float64(p.running) {
+	switch {
+	case p.demand.surges(now, r.Workspace):
+		return Surging
+	case float64(p.runningOf[r.Class]) < leastShare*float64(p.running):
 		return Owed
 	}
 	return Usual
@@ -320,7 +347,7 @@
 func (c *Controller) pool(name string) *pool {
 	p, ok := c.pools[name]
 	if !ok {
-		p = &pool{runningOf: map[string]int{}}
+		p = &pool{runningOf: map[string]int{}, demand: newDemand()}
 		c.pools[name] = p
 	}
 	return p
--- a/jackdawd/internal/admission/controller_test.go
+++ b/jackdawd/internal/admission/controller_test.go
@@ -125,3 +125,25 @@
 	}
 	require.Empty(t, c.waiting)
 }
+
+// A workspace sends many times its usual while upstreams are full. It stands back for the
+// others, and its refusals keep no less urgent request of theirs from the upstream.
+func TestSurgingWorkspaceStandsBack(t *testing.T) {
+	c, now := NewController(), noon
+	calm, hot := request("sort", 0), request("sort", 0)
+	calm.Workspace, hot.Workspace = "calm", "hot"
+	for range 300 {
+		now = now.Add(100 * time.Millisecond)
+		c.Arrived(now, calm)
+		c.Arrived(now, hot)
+	}
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		c.Arrived(now, hot)
+	}
+	require.Equal(t, Usual, c.Precedence(now, hot), "there is room")
+	c.RefusedSurge(now, "reader")
+	require.Equal(t, Surging, c.Precedence(now, hot))
+	require.Equal(t, Usual, c.Precedence(now, calm))
+	require.False(t, c.Behind(now, request("tag", 2), engine.Start()))
+}
--- a/jackdawd/internal/relay/admission.go
+++ b/jackdawd/internal/relay/admission.go
@@ -19,6 +19,11 @@
 	// servicePatienceShare is the same for plain services, which tell of their queues in each
 	// answer, every few milliseconds.
 	servicePatienceShare = 0.75
+	// surgingShare is the part of that for requests of a workspace that sends many times its
+	// usual. Queues are then no longer than it lets them, and all others find room.
+	surgingShare = 0.5
+	// surgingRanks is by how many ranks such requests are less urgent: half of those there are.
+	surgingRanks = 5
 	// latePatienceShare is the part of its whole target that a request may wait whose target
 	// can hardly be met any more: it still has a use, but not in the place of one that can be in time.
 	latePatienceShare = 0.0625
@@ -29,7 +34,7 @@
 
 // admissionRequest returns what admission must know of the request.
 func (j *job) admissionRequest() admission.Request {
-	return admission.Request{Pool: j.pool.Name, Class: j.route.Name, Rank: j.urgency(), Target: j.route.Target}
+	return admission.Request{Pool: j.pool.Name, Class: j.route.Name, Workspace: j.workspace.Name, Rank: j.urgency(), Target: j.route.Target}
 }
 
 // patience returns how long the request may wait at an upstream and still begin in time.
@@ -43,15 +48,31 @@
 	if j.pool.Engine {
 		share = patienceShare
 	}
+	if j.precedence == admission.Surging {
+		share *= surgingShare
+	}
 	return max(time.Duration(share*float64(inTime)), time.Duration(latePatienceShare*float64(j.route.Target)))
 }
 
-// urgency returns the rank of the request; one of a class that is owed its least share is as urgent as any.
+// setPrecedence finds out how the request stands to others that want the same upstreams.
+func (j *job) setPrecedence() {
+	// It was of another rank if its class was owed its least share at an earlier try.
+	j.precedence = admission.Usual
+	j.precedence = j.Admission.Precedence(time.Now(), j.admissionRequest())
+}
+
+// urgency returns the rank of the request: one of a class that is owed its least share is as
+// urgent as any, and those of a workspace that surges come after all others, or engines that
+// are full of them would begin with theirs first.
 func (j *job) urgency() int {
-	if j.precedence == admission.Owed {
+	rank := urgency(j.workspace, j.route)
+	switch j.precedence {
+	case admission.Owed:
 		return 0
+	case admission.Surging:
+		return min(rank+surgingRanks, lowestUrgency)
 	}
-	return urgency(j.workspace, j.route)
+	return rank
 }
 
 // delayAt returns how long the request would wait at an upstream.
@@ -63,7 +84,11 @@
 // overload returns the refusal of a request that would wait for too long.
 func (j *job) overload(u *traffic.Upstream, delay time.Duration) *work.Refusal {
 	now := time.Now()
-	j.Admission.Refused(now, j.admissionRequest(), u.Start())
+	if j.precedence == admission.Surging {
+		j.Admission.RefusedSurge(now, j.pool.Name)
+	} else {
+		j.Admission.Refused(now, j.admissionRequest(), u.Start())
+	}
 	after := max(delay, j.Admission.Overloaded(now, j.pool.Name), retryFull)
 	return work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "it would begin too late, after %s", delay.Round(time.Millisecond)).Retry(after)
 }
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -123,6 +123,7 @@
 	j.cached = j.cached && j.pool.Engine
 	j.Budgets.Earn(j.pool.Name)
 	j.waited = j.Admission.Waited(j.route.Name, j.request.TimeLeft)
+	j.Admission.Arrived(time.Now(), j.admissionRequest())
 	var last result
 	for range maxTries {
 		upstream := j.place()
@@ -158,8 +159,7 @@
 	j.snapshot = j.Members.Snapshot()
 	fit, avoided := j.candidates()
 	spokenAgainst := len(avoided)
-	j.precedence = admission.Usual
-	j.precedence = j.Admission.Precedence(time.Now(), j.admissionRequest())
+	j.setPrecedence()
 	if len(fit) == 0 {
 		fit = avoided
 	}
