--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -83,6 +83,11 @@
 		j.Members.Lost(u.Start())
 		return result{verdict: replaced}
 	case head.NotRun:
+		if head.Load == nil && u.Slots > 0 {
+			// It tells no load but that it is full. Without this the next requests would be
+			// sent there only to be turned away as well.
+			j.Loads.Told(time.Now(), u, traffic.Load{Running: u.Slots, Waiting: u.Slots, Slots: u.Slots})
+		}
 		j.observe(ctx, u, control.Broken)
 		return result{verdict: rejected}
 	}
--- a/jackdawd/internal/relay/upstreams_test.go
+++ b/jackdawd/internal/relay/upstreams_test.go
@@ -265,3 +265,28 @@
 		})
 	}
 }
+
+// A plain service that tells no load turns requests away because it is full. The next one
+// is refused here, with a time to come back, instead of being sent there in vain.
+func TestUpstreamThatTurnsRequestsAwayIsFull(t *testing.T) {
+	run(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		f.all(func(*standin.Runner) standin.Behavior {
+			return func(w http.ResponseWriter, _ *http.Request, _ []byte) bool {
+				w.Header().Set(standin.NotRunHeader, "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return true
+			}
+		})
+		reached := 0
+		for n := range 3 {
+			a := f.do(f.request(http.MethodPost, "/notice/x", fmt.Sprint("r", n), "hello"))
+			require.NoError(t, a.err)
+			require.Equal(t, http.StatusServiceUnavailable, a.status)
+			require.NotEmpty(t, a.header.Get("Retry-After"))
+			if f.journal.last().Steps[0].Reason != beginsTooLate {
+				reached++
+			}
+		}
+		require.Equal(t, 1, reached)
+	})
+}
