--- a/jackdawd/internal/admission/controller.go
+++ b/jackdawd/internal/admission/controller.go
@@ -289,6 +289,26 @@
 	return max(time.Duration(told), c.waitedBefore(now, rank, at, backlog.Crowded))
 }
 
+const (
+	// stuckRequests is how many requests make an upstream stuck that have waited for
+	// stuckTimes times as long as their answers take to begin: one may be reading a long prompt.
+	stuckRequests = 2
+	stuckTimes    = 2
+)
+
+// Stuck reports whether several of this host's requests at an upstream should have begun long ago.
+func (c *Controller) Stuck(now time.Time, at traffic.Start) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for r := range c.waiting[at] {
+		if begins := c.class(r.request.Class).begins; begins > 0 && now.Sub(r.sent) > stuckTimes*begins {
+			n++
+		}
+	}
+	return n >= stuckRequests
+}
+
 // waitedBefore returns for how long a request that is as urgent has waited at an upstream, which a
 // newcomer will do at least. What upstreams tell comes with answers that begin, so that the
 // fuller one is the older is what it told.
--- a/jackdawd/internal/admission/controller_test.go
+++ b/jackdawd/internal/admission/controller_test.go
@@ -147,3 +147,19 @@
 	require.Equal(t, Usual, c.Precedence(now, calm))
 	require.False(t, c.Behind(now, request("tag", 2), engine.Start()))
 }
+
+// Two requests wait at an engine for much longer than answers take to begin: a crowd has
+// come there that the engine has not told of yet. One may be reading a long prompt.
+func TestStuckUpstream(t *testing.T) {
+	c := NewController()
+	served(c, noon, request("sort", 0), 50*time.Millisecond, time.Second)
+	first := c.Send(noon, request("sort", 0), engine.Start(), 0)
+	late := noon.Add(150 * time.Millisecond)
+	require.False(t, c.Stuck(late, engine.Start()))
+	c.Send(noon, request("sort", 0), engine.Start(), 0)
+	require.False(t, c.Stuck(noon.Add(90*time.Millisecond), engine.Start()))
+	require.True(t, c.Stuck(late, engine.Start()))
+	require.False(t, c.Stuck(late, traffic.Start{ID: "engine-2"}))
+	first.Began(late)
+	require.False(t, c.Stuck(late, engine.Start()))
+}
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -31,6 +31,9 @@
 	// upstream is ever full.
 	Delay    func(*traffic.Upstream) time.Duration
 	Patience time.Duration
+	// Stuck reports whether several of this host's requests wait at an upstream for longer
+	// than answers take to begin; nil if none ever is.
+	Stuck func(*traffic.Upstream) bool
 	// Key is the hash of the prompt that the request shares with others; Cached is set if it has one.
 	Key    uint64
 	Cached bool
@@ -67,6 +70,8 @@
 	switch {
 	case first < 0:
 		return c.lightest()
+	case second >= 0 && c.stuck(first) && !c.stuck(second):
+		return c.Upstreams[second]
 	case second >= 0 && c.Loads[second] < unevenShare*c.Loads[first] && c.Full(c.Upstreams[first]) && !c.Full(c.Upstreams[second]):
 		return c.Upstreams[second]
 	}
@@ -94,6 +99,10 @@
 	return first, second
 }
 
+// stuck reports whether requests of this host wait at an upstream. It is the first sign of
+// a crowd there: what the upstream tells comes with answers, of which there are none then.
+func (c Choice) stuck(i int) bool { return c.Stuck != nil && c.Stuck(c.Upstreams[i]) }
+
 // unevenShare is the part of the load of a prompt's first engine that the second may have
 // to take the prompt over.
 const unevenShare = 0.5
--- a/jackdawd/internal/placement/choose_test.go
+++ b/jackdawd/internal/placement/choose_test.go
@@ -153,6 +153,29 @@
 	}
 }
 
+// Requests wait at the prompt's first engine for longer than they should, and it has told
+// of no crowd. The prompt goes to its second engine, unless they wait there as well.
+func TestPromptLeavesAStuckEngine(t *testing.T) {
+	upstreams := pool(6)
+	order := rank(42, upstreams)
+	first, second := upstreams[order[0]], upstreams[order[1]]
+	for name, test := range map[string]struct {
+		stuck []*traffic.Upstream
+		want  *traffic.Upstream
+	}{
+		"none":       {nil, first},
+		"the first":  {[]*traffic.Upstream{first}, second},
+		"the second": {[]*traffic.Upstream{second}, first},
+		"both":       {[]*traffic.Upstream{first, second}, first},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := cachedChoice(upstreams, []float64{6, 6, 6, 6, 6, 6}, 42)
+			c.Stuck = func(u *traffic.Upstream) bool { return slices.Contains(test.stuck, u) }
+			require.Same(t, test.want, Choose(c))
+		})
+	}
+}
+
 // A plain service's nearest upstream is full; the request goes to another one. If all are
 // full it is placed all the same, for the caller to be told how long it would wait.
 func TestFullUpstreamOfAPlainServiceIsPassedOver(t *testing.T) {
--- a/jackdawd/internal/relay/admission.go
+++ b/jackdawd/internal/relay/admission.go
@@ -81,6 +81,13 @@
 	return j.Admission.Delay(now, j.admissionRequest(), u.Start(), j.Loads.Backlog(now, u))
 }
 
+// stuckAt reports whether requests of this host wait at an upstream while the pool has room.
+// In an overload they wait everywhere, and prompts that went to and fro would be read again.
+func (j *job) stuckAt(u *traffic.Upstream) bool {
+	now := time.Now()
+	return j.Admission.Overloaded(now, j.pool.Name) == 0 && j.Admission.Stuck(now, u.Start())
+}
+
 // overload returns the refusal of a request that would wait for too long.
 func (j *job) overload(u *traffic.Upstream, delay time.Duration) *work.Refusal {
 	now := time.Now()
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -165,7 +165,7 @@
 	}
 	choice := placement.Choice{
 		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), Key: j.key, Cached: j.cached,
-		Delay: j.delayAt, Patience: j.patience(),
+		Delay: j.delayAt, Stuck: j.stuckAt, Patience: j.patience(),
 		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple(), Tie: rand.Uint64(),
 	}
 	upstream := placement.Choose(choice)
