--- a/jackdawd/internal/admission/controller.go
+++ b/jackdawd/internal/admission/controller.go
@@ -1,14 +1,10 @@
 package admission
 
 import (
-	"maps"
-	"math"
-	"slices"
 	"sync"
 	"time"
 
 	"jackdawhinge/common/traffic"
-	"jackdawhinge/jackdawd/internal/placement"
 )
 
 const (
@@ -22,19 +18,6 @@
 	// leastServiceShare is the part of its time at an upstream that a request is taken to
 	// have had a place at least, however long it was expected to wait.
 	leastServiceShare = 0.2
-	// waitsLifetime is how long what requests had to wait tells of those that wait now.
-	waitsLifetime = time.Second
-	// leastWaits is added to what requests had to wait, so that one that waited for some
-	// milliseconds says nothing.
-	leastWaits = 20 * time.Millisecond
-	// leastShare is the part of the places of this host's requests that each class may
-	// take, whatever more urgent ones ask for, so that none starves.
-	leastShare = 0.1
-	// refusedFor is how long after a refusal less urgent requests are refused as well: about
-	// the time between two refusals at a host that sees few requests of an overload.
-	refusedFor = 300 * time.Millisecond
-	// overloadGap is how long after the last refusal an overload is over.
-	overloadGap = time.Second
 	// calmDelay is the expected delay up to which an answer shows how soon one begins that need not wait.
 	calmDelay = 20 * time.Millisecond
 )
@@ -66,15 +49,14 @@
 	refusedAt    time.Time
 }
 
-// refusals is when a request of each rank was refused last for an upstream.
-type refusals [ranks]time.Time
-
 // class is what is known of the requests of one route.
 type class struct {
 	// begins is the mean time after which an answer begins that need not wait.
 	begins time.Duration
-	// longest is the longest time that a caller would wait.
-	longest time.Duration
+	// usual is how long most callers would wait, and votes by how many more they have been
+	// than those who would wait otherwise.
+	usual time.Duration
+	votes int
 }
 
 // A Request is what the controller must know of a request.
@@ -96,7 +78,6 @@
 	at         traffic.Start
 	sent       time.Time
 	expected   time.Duration
-	begins     time.Duration
 	begun      bool
 }
 
@@ -107,7 +88,7 @@
 
 // Send takes in that a request goes to an upstream where it is expected to wait for a time.
 func (c *Controller) Send(now time.Time, r Request, at traffic.Start, expected time.Duration) *Run {
-	r.Rank = min(max(r.Rank, 0), ranks-1)
+	r.Rank = inRange(r.Rank)
 	run := &Run{controller: c, request: r, at: at, sent: now, expected: expected}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -126,10 +107,9 @@
 	c := r.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.begins = now.Sub(r.sent)
 	c.leave(now, r)
 	if r.expected <= calmDelay {
-		mean(&c.class(r.request.Class).begins, r.begins)
+		mean(&c.class(r.request.Class).begins, now.Sub(r.sent))
 	}
 }
 
@@ -168,193 +148,44 @@
 	return c.class(class).begins
 }
 
-// Refused takes in that a request was refused for lack of room at an upstream.
-func (c *Controller) Refused(now time.Time, r Request, at traffic.Start) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.pool(r.Pool).overloaded(now)
-	if c.refused[at] == nil {
-		c.forgetRefusals(now)
-		c.refused[at] = &refusals{}
-	}
-	c.refused[at][min(max(r.Rank, 0), ranks-1)] = now
-}
-
-// RefusedSurge takes in that a request of a workspace that surges was refused; others may
-// find room where it did not, less urgent ones included.
-func (c *Controller) RefusedSurge(now time.Time, pool string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.pool(pool).overloaded(now)
-}
-
-// overloaded notes that there is an overload.
-func (p *pool) overloaded(now time.Time) {
-	if now.Sub(p.refusedAt) > overloadGap {
-		p.overloadedAt = now
-	}
-	p.refusedAt = now
-}
-
-// Arrived takes in that a request has come.
-func (c *Controller) Arrived(now time.Time, r Request) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.pool(r.Pool).demand.add(now, r.Workspace)
-}
-
-// Precedence says how a request stands to the others of its pool.
-type Precedence string
-
-// The precedences.
-const (
-	// Usual requests are admitted if they can begin in time.
-	Usual Precedence = "usual"
-	// Surging requests are of a workspace that asks for many times its usual.
-	Surging Precedence = "surging"
-	// Owed requests are of a class that has less than its least share, and go first.
-	Owed Precedence = "owed"
-)
-
-// Precedence returns how a request stands to the others that want an upstream.
-func (c *Controller) Precedence(now time.Time, r Request) Precedence {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.pool(r.Pool)
-	if now.Sub(p.refusedAt) > overloadGap {
-		return Usual
-	}
-	switch {
-	case p.demand.surges(now, r.Workspace):
-		return Surging
-	case float64(p.runningOf[r.Class]) < leastShare*float64(p.running):
-		return Owed
-	}
-	return Usual
-}
-
-// Behind reports whether a more urgent request has just been refused for an upstream.
-func (c *Controller) Behind(now time.Time, r Request, at traffic.Start) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	refused, ok := c.refused[at]
-	if !ok {
-		return false
-	}
-	for rank := range min(r.Rank, ranks) {
-		if now.Sub(refused[rank]) < refusedFor {
-			return true
-		}
-	}
-	return false
-}
-
-// forgetRefusals drops those that say nothing any more; the lock must be held.
-func (c *Controller) forgetRefusals(now time.Time) {
-	maps.DeleteFunc(c.refused, func(_ traffic.Start, r *refusals) bool {
-		return !slices.ContainsFunc(r[:], func(at time.Time) bool { return now.Sub(at) < refusedFor })
-	})
-}
-
-// Overloaded returns for how long requests to a pool have been refused. Of a crowd whose
-// end is not known, the best guess is that it stays for as long again.
-func (c *Controller) Overloaded(now time.Time, poolName string) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.pool(poolName)
-	if now.Sub(p.refusedAt) > overloadGap {
-		return 0
-	}
-	return now.Sub(p.overloadedAt)
-}
-
 // Waited returns how long ago a caller came first that will still wait for the time given.
 // Callers of a class wait equally long; one that was refused has less time left when it
-// comes again.
+// comes again. What most have left counts, or one caller with more patience would make
+// all others look as if they had been here before.
 func (c *Controller) Waited(class string, left time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.class(class)
-	k.longest = max(k.longest, left)
-	return k.longest - left
+	k.vote(left)
+	return max(k.usual-left, 0)
 }
 
-// Delay returns how long a request would wait at an upstream with a backlog.
-func (c *Controller) Delay(now time.Time, r Request, at traffic.Start, backlog placement.Backlog) time.Duration {
-	rank := min(max(r.Rank, 0), ranks-1)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.pool(r.Pool)
-	told := p.shareUpTo(rank) * backlog.Waiting * float64(p.expectedService()) / max(backlog.Running, 1)
-	return max(time.Duration(told), c.waitedBefore(now, rank, at, backlog.Crowded))
+// vote takes in how long a caller would wait. The first ones' tries differ by less than
+// voteTolerance, while those that come again have anything left.
+func (k *class) vote(left time.Duration) {
+	switch {
+	case (k.usual - left).Abs() <= voteTolerance:
+		k.votes = min(k.votes+1, mostVotes)
+	case k.votes == 0:
+		k.usual, k.votes = left, 1
+	default:
+		k.votes--
+	}
 }
 
 const (
-	// stuckRequests is how many requests make an upstream stuck that have waited for
-	// stuckTimes times as long as their answers take to begin: one may be reading a long prompt.
-	stuckRequests = 2
-	stuckTimes    = 2
+	// voteTolerance is by how much the time differs that two callers have left who come for
+	// the first time, for what their connections took.
+	voteTolerance = 50 * time.Millisecond
+	// mostVotes bounds the votes, so that so many callers are enough to show that habits have changed.
+	mostVotes = 50
 )
 
-// Stuck reports whether several of this host's requests at an upstream should have begun long ago.
-func (c *Controller) Stuck(now time.Time, at traffic.Start) bool {
+// Arrived takes in that a request has come.
+func (c *Controller) Arrived(now time.Time, r Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := 0
-	for r := range c.waiting[at] {
-		if begins := c.class(r.request.Class).begins; begins > 0 && now.Sub(r.sent) > stuckTimes*begins {
-			n++
-		}
-	}
-	return n >= stuckRequests
-}
-
-// waitedBefore returns for how long a request that is as urgent has waited at an upstream, which a
-// newcomer will do at least. What upstreams tell comes with answers that begin, so that the
-// fuller one is the older is what it told.
-//
-// Where nothing waited when it told last, the time counts from the target on: an answer
-// may take that long to begin while a prompt is read. An upstream that has gone dark, which
-// tells nothing any more, is found out then as well.
-func (c *Controller) waitedBefore(now time.Time, rank int, at traffic.Start, crowded bool) time.Duration {
-	longest := time.Duration(0)
-	for r := range c.waiting[at] {
-		if r.request.Rank > rank {
-			continue
-		}
-		age := now.Sub(r.sent)
-		switch {
-		case crowded:
-			longest = max(longest, age-c.class(r.request.Class).begins)
-		case age > r.request.Target:
-			longest = max(longest, age)
-		}
-	}
-	return longest
-}
-
-// waited takes in how long a request of a rank had to wait.
-func (p *pool) waited(now time.Time, rank int, wait time.Duration) {
-	faded := math.Exp(-now.Sub(p.waitsAt).Seconds() / waitsLifetime.Seconds())
-	for r := range p.waits {
-		p.waits[r] *= faded
-	}
-	p.waitsAt = now
-	p.waits[rank] += max(wait, 0).Seconds()
-}
-
-// shareUpTo returns the part of what waits that is as urgent as a rank, or more.
-// Upstreams begin with the more urgent first and do not tell how urgent those are that
-// wait; how long this host's own had to wait is a sample of it.
-func (p *pool) shareUpTo(rank int) float64 {
-	upTo, all := 0.0, 0.0
-	for r, wait := range p.waits {
-		all += wait
-		if r <= rank {
-			upTo += wait
-		}
-	}
-	return (upTo + leastWaits.Seconds()) / (all + leastWaits.Seconds())
+	c.pool(r.Pool).demand.add(now, r.Workspace)
 }
 
 func (p *pool) expectedService() time.Duration {
@@ -390,3 +221,6 @@
 	}
 	*m += time.Duration(meanWeight * float64(sample-*m))
 }
+
+// inRange returns the rank nearest to one given that there is.
+func inRange(rank int) int { return min(max(rank, 0), ranks-1) }
--- a/jackdawd/internal/relay/admission.go
+++ b/jackdawd/internal/relay/admission.go
@@ -88,6 +88,15 @@
 	return j.Admission.Overloaded(now, j.pool.Name) == 0 && j.Admission.Stuck(now, u.Start())
 }
 
+// beginsTooLate reports whether the request would wait at an upstream for longer than it
+// may, or for as long as a more urgent one that was just refused there.
+func (j *job) beginsTooLate(u *traffic.Upstream, patience time.Duration) bool {
+	if j.begun {
+		return false
+	}
+	return j.delay > patience || j.Admission.Behind(time.Now(), j.admissionRequest(), u.Start())
+}
+
 // overload returns the refusal of a request that would wait for too long.
 func (j *job) overload(u *traffic.Upstream, delay time.Duration) *work.Refusal {
 	now := time.Now()
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -16,7 +15,6 @@
 	"jackdawhinge/jackdawd/internal/events"
 	"jackdawhinge/jackdawd/internal/exchange"
 	"jackdawhinge/jackdawd/internal/membership"
-	"jackdawhinge/jackdawd/internal/placement"
 	"jackdawhinge/jackdawd/internal/work"
 )
 
@@ -153,73 +151,6 @@
 	return r
 }
 
-// place chooses an upstream that was not tried yet, or nil.
-func (j *job) place() *traffic.Upstream {
-	// A request may have waited or been tried for seconds; upstreams have left meanwhile.
-	j.snapshot = j.Members.Snapshot()
-	fit, avoided := j.candidates()
-	spokenAgainst := len(avoided)
-	j.setPrecedence()
-	if len(fit) == 0 {
-		fit = avoided
-	}
-	choice := placement.Choice{
-		Upstreams: fit, Loads: j.Loads.All(time.Now(), fit), Key: j.key, Cached: j.cached,
-		Delay: j.delayAt, Stuck: j.stuckAt, Patience: j.patience(),
-		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple(), Tie: rand.Uint64(),
-	}
-	upstream := placement.Choose(choice)
-	if upstream == nil {
-		j.note(Step{Decision: Stopped, Reason: "no-upstream", Avoided: spokenAgainst})
-		return nil
-	}
-	j.delay = j.delayAt(upstream)
-	if j.delay > choice.Patience || (!j.begun && j.Admission.Behind(time.Now(), j.admissionRequest(), upstream.Start())) {
-		j.full = j.overload(upstream, j.delay)
-		j.note(Step{Decision: Stopped, Upstream: upstream.ID, Reason: beginsTooLate, Avoided: spokenAgainst, Delay: j.delay, Patience: choice.Patience})
-		return nil
-	}
-	j.fetchFrom = j.source(upstream)
-	placed := Step{Decision: Placed, Upstream: upstream.ID, Candidates: len(fit), Avoided: spokenAgainst, Mean: choice.Mean(), Cached: j.cached, Delay: j.delay, Patience: choice.Patience}
-	placed.Load = j.Loads.Estimate(time.Now(), upstream)
-	if j.fetchFrom != nil {
-		placed.FetchFrom = j.fetchFrom.ID
-	}
-	j.note(placed)
-	return upstream
-}
-
-// candidates returns the upstreams that may be tried, and those of them that
-// evidence speaks against. Another region's are among them only if this one has none:
-// a request there and back takes longer than most targets allow, and the regions
-// lose each other at times.
-func (j *job) candidates() (fit, avoided []*traffic.Upstream) {
-	var far []*traffic.Upstream
-	for _, u := range j.snapshot.Upstreams(j.pool.Name) {
-		switch {
-		case slices.Contains(j.tried, u.Start()) || !u.Serves(j.request.Model):
-		case j.snapshot.Avoided(u.ID):
-			avoided = append(avoided, u)
-		case !j.Near(u.FailureDomain):
-			far = append(far, u)
-		default:
-			fit = append(fit, u)
-		}
-	}
-	if len(fit) == 0 {
-		fit = far
-	}
-	return fit, avoided
-}
-
-// source returns the engine that the one given may fetch the prompt from, or nil.
-func (j *job) source(to *traffic.Upstream) *traffic.Upstream {
-	if !j.cached {
-		return nil
-	}
-	return j.Warmth.Source(time.Now(), j.key, to, j.snapshot)
-}
-
 // again decides whether the request is tried at another upstream, and takes the retry from the budget.
 func (j *job) again(ctx context.Context, r result) bool {
 	if r.verdict == answered || r.verdict == callerLeft || ctx.Err() != nil {
--- /dev/null
+++ b/jackdawd/internal/relay/place.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/placement"
+)
+
+// place chooses an upstream that was not tried yet, or nil if there is none or the request
+// would begin too late there.
+func (j *job) place() *traffic.Upstream {
+	// A request may have been tried for seconds; upstreams have left meanwhile.
+	j.snapshot = j.Members.Snapshot()
+	fit, avoided := j.candidates()
+	spokenAgainst := len(avoided)
+	if len(fit) == 0 {
+		fit = avoided
+	}
+	step := Step{Candidates: len(fit), Avoided: spokenAgainst, Cached: j.cached}
+	j.setPrecedence()
+	choice := j.choice(fit)
+	upstream := placement.Choose(choice)
+	if upstream == nil {
+		step.Decision, step.Reason = Stopped, "no-upstream"
+		j.note(step)
+		return nil
+	}
+	j.delay = j.delayAt(upstream)
+	step.Upstream, step.Load, step.Mean = upstream.ID, j.Loads.Estimate(time.Now(), upstream), choice.Mean()
+	step.Delay, step.Patience = j.delay, choice.Patience
+	if j.beginsTooLate(upstream, choice.Patience) {
+		j.full = j.overload(upstream, j.delay)
+		step.Decision, step.Reason = Stopped, beginsTooLate
+		j.note(step)
+		return nil
+	}
+	if j.fetchFrom = j.source(upstream); j.fetchFrom != nil {
+		step.FetchFrom = j.fetchFrom.ID
+	}
+	step.Decision = Placed
+	j.note(step)
+	return upstream
+}
+
+// choice returns what the request is placed by.
+func (j *job) choice(upstreams []*traffic.Upstream) placement.Choice {
+	return placement.Choice{
+		Upstreams: upstreams, Loads: j.Loads.All(time.Now(), upstreams), Key: j.key, Cached: j.cached,
+		Delay: j.delayAt, Stuck: j.stuckAt, Patience: j.patience(),
+		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple(), Tie: rand.Uint64(),
+	}
+}
+
+// candidates returns the upstreams that may be tried, and those of them that
+// evidence speaks against. Another region's are among them only if this one has none:
+// a request there and back takes longer than most targets allow, and the regions
+// lose each other at times.
+func (j *job) candidates() (fit, avoided []*traffic.Upstream) {
+	var far []*traffic.Upstream
+	for _, u := range j.snapshot.Upstreams(j.pool.Name) {
+		switch {
+		case slices.Contains(j.tried, u.Start()) || !u.Serves(j.request.Model):
+		case j.snapshot.Avoided(u.ID):
+			avoided = append(avoided, u)
+		case !j.Near(u.FailureDomain):
+			far = append(far, u)
+		default:
+			fit = append(fit, u)
+		}
+	}
+	if len(fit) == 0 {
+		fit = far
+	}
+	return fit, avoided
+}
+
+// source returns the engine that the one given may fetch the prompt from, or nil.
+func (j *job) source(to *traffic.Upstream) *traffic.Upstream {
+	if !j.cached {
+		return nil
+	}
+	return j.Warmth.Source(time.Now(), j.key, to, j.snapshot)
+}
