--- a/jackdawd/internal/membership/beliefs.go
+++ b/jackdawd/internal/membership/beliefs.go
@@ -57,22 +57,24 @@
 	}
 	changed := !b.known
 	b.known = true
-	listed := map[string]bool{}
+	lapsed := b.lapsed(change)
 	for _, e := range change.Entries {
-		listed[e.ID] = e.Upstream != nil
-		_, known := b.listed[e.ID]
+		u, known := b.listed[e.ID]
 		switch {
 		case e.Upstream != nil:
 			changed = b.list(*e.Upstream) || changed
-		case known && e.Unusable:
-			// It did not lapse: it was written over.
-			b.lapsing[e.ID] = time.Time{}
-		case known:
+		case known && lapsed[u.Pool] && !e.Unusable:
 			b.lapsing[e.ID] = giveUpAt
+		case known:
+			b.lapsing[e.ID] = time.Time{}
 		}
 	}
-	for id := range b.listed {
-		if _, lapsing := b.lapsing[id]; change.Whole && !listed[id] && !lapsing {
+	for id := range b.missing(change) {
+		if _, lapsing := b.lapsing[id]; lapsing {
+			continue
+		}
+		b.lapsing[id] = time.Time{}
+		if lapsed[b.listed[id].Pool] {
 			b.lapsing[id] = giveUpAt
 		}
 	}
@@ -81,6 +83,52 @@
 	}
 }
 
+// lapsed returns the pools of which a change removes so much that the entries must have
+// lapsed while the store was away.
+//
+// A host that was cut off alone finds the same gap in its reads, and what is gone then has
+// left: believed in, upstreams were sent work 2.9 s after they had said that they leave,
+// where 2 s are allowed. Entries that lapse do so for all upstreams, and without its
+// belief the host would have nowhere to send work; of those that leave meanwhile most stay.
+func (b *beliefs) lapsed(change traffic.UpstreamChange) map[string]bool {
+	gone := map[string]bool{}
+	for _, e := range change.Entries {
+		gone[e.ID] = e.Upstream == nil && !e.Unusable
+	}
+	for id := range b.missing(change) {
+		gone[id] = true
+	}
+	known, without := map[string]int{}, map[string]int{}
+	for id, u := range b.listed {
+		known[u.Pool]++
+		if _, lapsing := b.lapsing[id]; lapsing || gone[id] {
+			without[u.Pool]++
+		}
+	}
+	lapsed := map[string]bool{}
+	for pool, n := range without {
+		lapsed[pool] = float64(n) >= lapsedShare*float64(known[pool])
+	}
+	return lapsed
+}
+
+// missing returns the upstreams known that a whole list lacks.
+func (b *beliefs) missing(change traffic.UpstreamChange) map[string]bool {
+	missing := map[string]bool{}
+	if !change.Whole {
+		return missing
+	}
+	for id := range b.listed {
+		missing[id] = true
+	}
+	for _, e := range change.Entries {
+		if e.Upstream != nil || e.Unusable {
+			delete(missing, e.ID)
+		}
+	}
+	return missing
+}
+
 // remove drops an upstream.
 func (b *beliefs) remove(id string) {
 	delete(b.listed, id)
--- a/jackdawd/internal/membership/beliefs_test.go
+++ b/jackdawd/internal/membership/beliefs_test.go
@@ -285,3 +285,63 @@
 		require.Equal(t, []string{"b"}, ids(k.Snapshot().Upstreams("reader")))
 	})
 }
+
+// A host is cut off from everybody; each of its reads hangs for a second and fails. An
+// upstream says that it leaves just before the cut heals. Whenever that is in the host's
+// pauses, it knows well before it counts as in touch again, which is 3 s later: from
+// then on no request may reach the upstream. A rest of two seconds on top of the pauses, after
+// other hosts and the store have failed it, would be too much.
+func TestLeaversAreKnownSoonAfterACutHeals(t *testing.T) {
+	const inTouchAfter = 3 * time.Second
+	for phase := range 20 {
+		keep(t, func(t *testing.T, k *Keeper, s *source, _ *atomic.Int64) {
+			s.set(func(s *source) {
+				s.changes = []traffic.UpstreamChange{{Whole: true, Entries: []traffic.UpstreamEntry{listed("a", 1, traffic.Ready), listed("b", 1, traffic.Ready)}}}
+			})
+			time.Sleep(2 * time.Second)
+			s.set(func(s *source) { s.silent = true })
+			time.Sleep(8*time.Second + time.Duration(phase)*125*time.Millisecond)
+			s.set(func(s *source) {
+				s.silent = false
+				s.changes = []traffic.UpstreamChange{{Entries: []traffic.UpstreamEntry{listed("a", 2, traffic.Leaving)}}}
+			})
+			time.Sleep(inTouchAfter - 500*time.Millisecond)
+			require.False(t, k.Snapshot().Takes("a"))
+			require.True(t, k.Snapshot().Takes("b"))
+		})
+	}
+}
+
+// A host is cut off for long while the store and everybody else go on. When it reads again
+// a few upstreams are gone, because they have left: unlike entries that lapsed while the
+// store was away, they get no work from that moment on.
+func TestUpstreamsThatLeftWhileTheHostWasCutOffAreGone(t *testing.T) {
+	entries := func(ids ...string) []traffic.UpstreamEntry {
+		var out []traffic.UpstreamEntry
+		for _, id := range ids {
+			out = append(out, listed(id, 1, traffic.Ready))
+		}
+		return out
+	}
+	for name, change := range map[string]traffic.UpstreamChange{
+		"what has changed": {Entries: []traffic.UpstreamEntry{traffic.Gone("a"), traffic.Gone("b")}},
+		"the whole list":   {Whole: true, Entries: entries("c", "d", "e")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			keep(t, func(t *testing.T, k *Keeper, s *source, _ *atomic.Int64) {
+				s.set(func(s *source) {
+					s.changes = []traffic.UpstreamChange{{Whole: true, Entries: entries("a", "b", "c", "d", "e")}}
+				})
+				time.Sleep(2 * time.Second)
+				s.set(func(s *source) { s.away = true })
+				time.Sleep(12 * time.Second)
+				s.set(func(s *source) {
+					s.away = false
+					s.changes = []traffic.UpstreamChange{change}
+				})
+				time.Sleep(longestRetry + longestRetry/2)
+				require.Equal(t, []string{"c", "d", "e"}, ids(k.Snapshot().Upstreams("reader")))
+			})
+		})
+	}
+}
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -35,6 +35,10 @@
 	// lapseGrace is how long after the store's return an upstream whose entry lapsed
 	// meanwhile is still believed in: live upstreams are back within that time.
 	lapseGrace = 2 * time.Second
+	// lapsedShare is the part of a pool that must be gone at least for its entries to have lapsed: while
+	// a release replaced seven of 18 engines and three crashed, a host that was cut off for 12 s
+	// found a third gone.
+	lapsedShare = 0.5
 	// tick is how often beliefs that end with time are looked at.
 	tick = 250 * time.Millisecond
 	// rememberedGone is how many upstreams that are gone are remembered at least.
