--- a/jackdawd/internal/relay/upstreams_test.go
+++ b/jackdawd/internal/relay/upstreams_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -291,3 +292,24 @@
 		require.Equal(t, 1, reached)
 	})
 }
+
+// An overload lasts. Callers that are refused are told to come back when it has lasted as
+// long again: sooner they would be refused again, and they try only so often.
+func TestRefusedCallersComeBackAfterAsLongAsTheOverloadHasLasted(t *testing.T) {
+	run(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+		var after float64
+		begin := time.Now()
+		for n := 0; time.Since(begin) <= 3*time.Second; n++ {
+			for _, u := range f.handler.Members.Snapshot().Upstreams("reader") {
+				f.handler.Loads.Told(time.Now(), u, traffic.Load{Running: 8, Waiting: 40, Slots: 8})
+			}
+			a := f.do(f.stream("/digest/x", fmt.Sprint("r", n), 1))
+			require.Equal(t, http.StatusServiceUnavailable, a.status)
+			var err error
+			after, err = strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			time.Sleep(300 * time.Millisecond)
+		}
+		require.InDelta(t, 3.75, after, 0.76, "3 s, and half as much at random")
+	})
+}
