--- a/jackdawd/internal/relay/admission.go
+++ b/jackdawd/internal/relay/admission.go
@@ -14,7 +14,7 @@
 	// wait. What hosts know of an engine's queue is half a second old, in which others have sent
 	// as much again; and the shorter the queues, the sooner service is whole after a surge.
 	// With all of the time, half and a quarter of it one kind of request in a surge of twelve
-	// times the usual was answered in time 882, 1,090 and 1,154 times of 2,070.
+	// times the usual was answered in time 1,068, 1,103 and 1,154 times of 2,070.
 	patienceShare = 0.25
 	// servicePatienceShare is the same for plain services, which tell of their queues in each
 	// answer, every few milliseconds.
@@ -29,8 +29,8 @@
 	latePatienceShare = 0.0625
 )
 
-// beginsTooLate is the reason for which a request that found no room was not tried.
-const beginsTooLate = "begins-too-late"
+// tooLateReason is the reason for which a request that found no room was not tried.
+const tooLateReason = "begins-too-late"
 
 // admissionRequest returns what admission must know of the request.
 func (j *job) admissionRequest() admission.Request {
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -33,7 +33,7 @@
 	step.Delay, step.Patience = j.delay, choice.Patience
 	if j.beginsTooLate(upstream, choice.Patience) {
 		j.full = j.overload(upstream, j.delay)
-		step.Decision, step.Reason = Stopped, beginsTooLate
+		step.Decision, step.Reason = Stopped, tooLateReason
 		j.note(step)
 		return nil
 	}
