--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jackdawhinge/common/pause"
 	"jackdawhinge/jackdawd/internal/placement"
 )
@@ -264,9 +266,22 @@
 	s.neighbors.setRegion(now, s.neighbors.sum(now, own))
 	s.evidence.TakeScores(without(s.neighbors.all(now), own))
 	s.options.Plans.Draw(now, s.inProgress(now))
+	s.tellOfPlan(now)
 	s.planned.raise()
 }
 
+// tellOfPlan writes what the plan in force says to the log, twice a second at one host of a region.
+func (s *Source) tellOfPlan(now time.Time) {
+	plan, _ := s.options.Plans.Plan(now)
+	if plan == nil {
+		return
+	}
+	sum := plan.Summary()
+	logrus.WithFields(logrus.Fields{
+		"engines": sum.Engines, "in-progress": sum.Requests, "most": sum.Most, "limited": sum.Limited, "prompts": sum.Prompts, "bytes": plan.Size(),
+	}).Info("fleet: A plan was drawn.")
+}
+
 // inProgress returns what is in progress at this host and those below.
 func (s *Source) inProgress(now time.Time) placement.InProgress {
 	return s.neighbors.sumInProgress(now, s.options.Plans.InProgress())
--- a/jackdawd/internal/placement/balancer.go
+++ b/jackdawd/internal/placement/balancer.go
@@ -137,7 +137,7 @@
 // put brings a plan into force; the lock must be held. Of a pool whose engines it does not
 // name and whose list is another one here, what was known stays.
 func (b *Balancer) put(p *Plan, at time.Time, engines map[string][]*traffic.Upstream) {
-	spread := &Spread{weights: map[uint32]uint8{}, means: map[uint32]float64{}, prompts: map[uint32]float64{}}
+	spread := &Spread{drawnAt: at, weights: map[uint32]uint8{}, means: map[uint32]float64{}, prompts: map[uint32]float64{}}
 	lists := map[uint32]engineList{}
 	for pool, list := range engines {
 		lists[PoolHash(pool)] = listOf(list)
--- a/jackdawd/internal/placement/plan.go
+++ b/jackdawd/internal/placement/plan.go
@@ -118,6 +118,30 @@
 	return soundMean(loads)
 }
 
+// A Summary is what a plan says of all pools together.
+type Summary struct {
+	// Engines and Requests are how many there are, Most is the highest load of an engine.
+	Engines, Requests, Most int
+	// Limited is how many engines take less than all of their prompts, Prompts how many prompts the plan has.
+	Limited, Prompts int
+}
+
+// Summary returns what the plan says of all pools together.
+func (p *Plan) Summary() Summary {
+	sum := Summary{Prompts: len(p.Prompts)}
+	for _, pool := range p.Pools {
+		sum.Engines += len(pool.Loads)
+		for i, load := range pool.Loads {
+			sum.Requests += int(load)
+			sum.Most = max(sum.Most, int(load))
+			if pool.weight(i) < fullWeight {
+				sum.Limited++
+			}
+		}
+	}
+	return sum
+}
+
 // Size returns about how many bytes the plan takes between hosts.
 func (p *Plan) Size() int {
 	size := 0
--- a/jackdawd/internal/placement/spread.go
+++ b/jackdawd/internal/placement/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"jackdawhinge/common/traffic"
 )
@@ -17,6 +18,8 @@
 
 // A Spread is a plan as one host places by it. The zero value and nil spread nothing.
 type Spread struct {
+	// drawnAt is when the plan was drawn.
+	drawnAt time.Time
 	// weights are those of engines that take less than all, by short hash.
 	weights map[uint32]uint8
 	// means are the mean loads of pools, by PoolHash.
@@ -25,6 +28,14 @@
 	prompts map[uint32]float64
 }
 
+// Age returns how long ago the plan was drawn, and false if there is none.
+func (s *Spread) Age(now time.Time) (time.Duration, bool) {
+	if s == nil {
+		return 0, false
+	}
+	return now.Sub(s.drawnAt), true
+}
+
 // takes reports whether an engine takes a prompt that has the score given there. The lowest
 // bits of the score decide, which say nothing of the engine's place in the prompt's order:
 // a change of weight moves no more prompts than it must.
--- a/jackdawd/internal/relay/journal.go
+++ b/jackdawd/internal/relay/journal.go
@@ -44,6 +44,9 @@
 	// Load is what the chosen upstream was thought to have, Mean what its pool has.
 	Load float64
 	Mean float64
+	// PlanAge is how long ago the plan was drawn that the request was placed by; Planned is set if there was one.
+	PlanAge time.Duration
+	Planned bool
 	// Cached is set if the request has a prompt that engines cache; FetchFrom is the
 	// upstream that the chosen one was told to fetch it from, empty if it should have it.
 	Cached    bool
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -30,6 +30,7 @@
 	}
 	j.delay = j.delayAt(upstream)
 	step.Upstream, step.Load, step.Mean = upstream.ID, j.Loads.Estimate(time.Now(), upstream), choice.Mean()
+	step.PlanAge, step.Planned = choice.Spread.Age(time.Now())
 	step.Delay, step.Patience = j.delay, choice.Patience
 	if j.beginsTooLate(upstream, choice.Patience) {
 		j.full = j.overload(upstream, j.delay)
--- a/jackdawd/internal/stories/writer.go
+++ b/jackdawd/internal/stories/writer.go
@@ -99,6 +99,9 @@
 		f["candidates"], f["avoided"] = step.Candidates, step.Avoided
 		f["load"], f["mean"] = round(step.Load), round(step.Mean)
 		f["delay"], f["patience"] = step.Delay.String(), step.Patience.String()
+		if step.Planned {
+			f["plan-age"] = step.PlanAge.String()
+		}
 		if step.FetchFrom != "" {
 			f["fetch-from"] = step.FetchFrom
 		}
--- a/jackdawd/internal/stories/writer_test.go
+++ b/jackdawd/internal/stories/writer_test.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// A request was placed by a plan, another one without any. The log tells them apart, or
+// nobody could see whether hosts place by plans that are too old.
+func TestAgeOfThePlanIsTold(t *testing.T) {
+	usual, out := newLog()
+	w := NewWriter(usual, usual, telemetry.NewMeter())
+	planned := story("planned", relay.Answered, time.Unix(1, 0))
+	planned.Steps[0].Planned, planned.Steps[0].PlanAge = true, 700*time.Millisecond
+	w.Ended(planned)
+	require.Contains(t, out.String(), `"plan-age":"700ms"`)
+	out.Reset()
+	w.Ended(story("unplanned", relay.Answered, time.Unix(1, 0)))
+	require.NotContains(t, out.String(), "plan-age")
+}
+
 func TestOrdinaryAndOtherRequestsAreKeptApart(t *testing.T) {
 	usual, usualOut := newLog()
 	unusual, unusualOut := newLog()
