--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -288,10 +288,9 @@
 }
 
 // answer returns what a host below does not know yet that called at a moment.
-func (s *Source) answer(called time.Time, args *ExchangeArgs) ExchangeReply {
-	now := time.Now()
+func (s *Source) answer(now, called time.Time, args *ExchangeArgs) ExchangeReply {
 	reply := ExchangeReply{Scores: packScores(s.neighbors.all(now))}
-	if s.hasPlanFor(called, args) {
+	if s.hasPlanFor(now, called, args) {
 		plan, drawn := s.options.Plans.Plan(now)
 		if args.Lists == plan.Lists() {
 			plan = plan.Brief()
@@ -304,8 +303,7 @@
 
 // hasPlanFor reports whether this host knows a newer plan than a host below did when it called
 // at a moment, and may tell it now.
-func (s *Source) hasPlanFor(called time.Time, args *ExchangeArgs) bool {
-	now := time.Now()
+func (s *Source) hasPlanFor(now, called time.Time, args *ExchangeArgs) bool {
 	plan, drawn := s.options.Plans.Plan(now)
 	return plan != nil && drawn.Sub(called.Add(-args.PlanAge)) > planStep && s.neighbors.mayTell(now, args.Host)
 }
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -62,7 +62,7 @@
 		return false
 	}
 	since := time.Duration(s.source.listHeard.Load()) - args.Heard
-	return s.source.hasPlanFor(called, &args.Exchange) || c.Configuration().Version() > args.Version || c.End() != args.Position || since < 0 || since >= refreshStep
+	return s.source.hasPlanFor(time.Now(), called, &args.Exchange) || c.Configuration().Version() > args.Version || c.End() != args.Position || since < 0 || since >= refreshStep
 }
 
 func (s *service) fill(called time.Time, args *FollowArgs, reply *FollowReply) error {
@@ -74,7 +74,7 @@
 	if s.source.directory.Until() > args.Hosts {
 		reply.Hosts, reply.HostsWhole, reply.HostsUntil = s.source.directory.Since(args.Hosts)
 	}
-	reply.Exchange = s.source.answer(called, &args.Exchange)
+	reply.Exchange = s.source.answer(time.Now(), called, &args.Exchange)
 	if err := s.fillDocument(args, reply, changes); err != nil {
 		return err
 	}
@@ -126,7 +126,7 @@
 	defer timer.Stop()
 	for waiting := true; waiting; {
 		planned := s.source.planned.raised()
-		if s.source.hasPlanFor(called, args) {
+		if s.source.hasPlanFor(time.Now(), called, args) {
 			break
 		}
 		select {
@@ -135,6 +135,6 @@
 			waiting = false
 		}
 	}
-	*reply = s.source.answer(called, args)
+	*reply = s.source.answer(time.Now(), called, args)
 	return nil
 }
