--- a/capacity/internal/plan/platform.go
+++ b/capacity/internal/plan/platform.go
@@ -19,8 +19,11 @@
 	// countsBytes is what a call tells of requests in progress at most: 40 engines and 8
 	// prompts of 4 bytes each.
 	countsBytes = 192
-	// planHead is what a plan takes beside its engines: the pool, the list and some hot prompts.
-	planHead = 40
+	// planLimit is how large a plan is at most; one with a pool for each of many models still names
+	// some engines, which takes leastNamedBytes beside poolBytes for each pool.
+	planLimit       = 172
+	poolBytes       = 7
+	leastNamedBytes = 64
 	// planBudget is what a host may tell of plans to all its followers, in bytes a second.
 	planBudget = 700
 	// entryBytes is what an upstream writes of itself into the store, each entryEvery seconds.
@@ -46,18 +49,18 @@
 	return steps
 }
 
-// planBytes returns the bytes of one plan.
-func (m model) planBytes(s size) float64 { return m.perOne("plan-bytes")*s.upstreams + planHead }
+// planBytes returns the bytes of one plan at most.
+func (s size) planBytes() float64 { return math.Max(planLimit, poolBytes*s.pools+leastNamedBytes) }
 
 // plans returns how often a follower is told a plan in a second.
-func (m model) plans(s size) float64 {
-	return math.Min(plansASecond, planBudget/(fanOut*m.planBytes(s)))
+func (s size) plans() float64 {
+	return math.Min(plansASecond, planBudget/(fanOut*s.planBytes()))
 }
 
 // linked returns the bytes a second between a host and one that follows it.
 func (m model) linked(s size) float64 {
 	calls := (plansASecond + listsASecond) * (m.at("follow-bytes", s.upstreams) + packetBytes)
-	return calls + plansASecond*countsBytes + m.plans(s)*m.planBytes(s)
+	return calls + plansASecond*countsBytes + s.plans()*s.planBytes()
 }
 
 // above returns the bytes a second of a host that others follow, below of one that none does.
@@ -88,7 +91,7 @@
 		{"control", "steps from one to the last host", "a tree, 2 below each", number, size.steps},
 		{"control", "calls to the store, all hosts", "readers alone", number, func(s size) float64 { return s.readers() * readerReads }},
 		{"control", "calls to the store, if each host read it", "(not so)", number, func(s size) float64 { return s.nodes * readerReads }},
-		{"control", "between two plans at a host", "by budget", seconds, func(s size) float64 { return 1 / m.plans(s) }},
+		{"control", "between two plans at a host", "by budget", seconds, func(s size) float64 { return 1 / s.plans() }},
 		{"host that none follows", "bytes, both ways, headers included", "net/rpc, what has changed", perSecond, m.below},
 		{"host that others follow", "bytes, both ways, headers included", "the same, three times", perSecond, m.above},
 		{"host that others follow", "share of a core", "", percent, func(s size) float64 { return m.hostCPU(s, fanOut+1) }},
--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -21,8 +21,12 @@
 	planStep = 50 * time.Millisecond
 	// planBudget is what a host may tell of plans to all its followers, in bytes a second. With
 	// two of them, whose calls take 1.4 KB a second each with what they tell, a host keeps below
-	// 5 KB a second; of 78 engines each plan goes to each follower, of 880 each eighth.
+	// 5 KB a second. Each plan of placement.MostPlanBytes goes to each follower.
 	planBudget = 700
+	// planCredit is for how long ahead a host may spend that. A plan that is drawn for a prompt which
+	// many ask for all at once follows 0.1 s after another one; without credit hosts
+	// heard of it 0.5 s later, when 90 of 600 requests had reached the prompt's one engine.
+	planCredit = planEvery
 	// gatherStep is how long a host waits for the hosts below to tell it what is new before it
 	// tells the host above, for each step that there is below it. All of them call again
 	// when they hear news, within some milliseconds; so what the lowest know is with the region's
@@ -54,8 +58,6 @@
 	Take(p *placement.Plan, at time.Time)
 	// Draw draws a plan from what is in progress at all hosts.
 	Draw(now time.Time, all placement.InProgress)
-	// Lists tells the lists of engines of this host from others.
-	Lists() uint32
 	// Rising reports whether many more ask for a prompt than the plan says.
 	Rising(all placement.InProgress) bool
 }
@@ -79,9 +81,8 @@
 	inProgress placement.InProgress
 	// steps is how many steps there are below it.
 	steps int
-	// planAt is when it was told a plan last, which had so many bytes.
-	planAt    time.Time
-	planBytes int
+	// paidUntil is until when the plans that it was told use its part of the budget up.
+	paidUntil time.Time
 }
 
 func newNeighbors() *neighbors { return &neighbors{below: map[string]neighbor{}, heard: newSignal()} }
@@ -136,10 +137,7 @@
 func (n *neighbors) mayTell(now time.Time, host string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	b := n.below[host]
-	// Only readers have more than fanOut, who get many times as much from the store.
-	followers := min(len(n.below), fanOut)
-	return now.Sub(b.planAt) >= time.Duration(b.planBytes*followers)*time.Second/planBudget
+	return !n.below[host].paidUntil.After(now.Add(planCredit))
 }
 
 // told takes in that a host below was told a plan of so many bytes.
@@ -147,7 +145,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	b := n.below[host]
-	b.planAt, b.planBytes = now, bytes
+	if b.paidUntil.Before(now) {
+		b.paidUntil = now
+	}
+	// Only readers have more than fanOut, who get many times as much from the store.
+	followers := min(len(n.below), fanOut)
+	b.paidUntil = b.paidUntil.Add(time.Duration(bytes*followers) * time.Second / planBudget)
 	n.below[host] = b
 }
 
@@ -243,7 +246,6 @@
 		Prompts: packCounts(sum.Prompts, most(sum.Prompts, mostPromptsTold)),
 		Scores:  packScores(s.neighbors.sum(now, s.evidence.Scores())),
 		PlanAge: neverListed,
-		Lists:   s.options.Plans.Lists(),
 		Steps:   s.neighbors.steps(now),
 	}
 	if plan, drawn := s.options.Plans.Plan(now); plan != nil {
@@ -278,7 +280,7 @@
 	}
 	sum := plan.Summary()
 	logrus.WithFields(logrus.Fields{
-		"engines": sum.Engines, "in-progress": sum.Requests, "most": sum.Most, "limited": sum.Limited, "prompts": sum.Prompts, "bytes": plan.Size(),
+		"named": sum.Named, "limited": sum.Limited, "most": sum.Most, "prompts": sum.Prompts, "bytes": plan.Size(),
 	}).Info("fleet: A plan was drawn.")
 }
 
@@ -292,9 +294,6 @@
 	reply := ExchangeReply{Scores: packScores(s.neighbors.all(now))}
 	if s.hasPlanFor(now, called, args) {
 		plan, drawn := s.options.Plans.Plan(now)
-		if args.Lists == plan.Lists() {
-			plan = plan.Brief()
-		}
 		reply.Plan, reply.PlanAge = plan, now.Sub(drawn)
 		s.neighbors.told(now, args.Host, plan.Size())
 	}
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -88,8 +88,6 @@
 	Scores Scores
 	// PlanAge is how old the plan is that the host has; longer than any plan if it has none.
 	PlanAge time.Duration
-	// Lists tells the host's lists of engines from others.
-	Lists uint32
 	// Steps is how many steps there are below the host.
 	Steps int
 }
--- a/jackdawd/internal/placement/balancer.go
+++ b/jackdawd/internal/placement/balancer.go
@@ -45,9 +45,8 @@
 
 	plan   *Plan
 	planAt time.Time
-	// spread is the plan as far as its engines are known here; whole is set if all are.
+	// spread is the plan as far as its engines are known here.
 	spread *Spread
-	whole  bool
 
 	// multiple returns how many times the mean load an engine may carry.
 	multiple func() float64
@@ -115,80 +114,34 @@
 func (b *Balancer) Spread(now time.Time) *Spread {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	switch {
-	case b.plan == nil || now.Sub(b.planAt) > planLifetime:
+	if b.plan == nil || now.Sub(b.planAt) > planLifetime {
 		return nil
-	case !b.whole:
-		// The plan came before the list that it goes by.
-		b.put(b.plan, b.planAt, b.engines())
 	}
 	return b.spread
 }
 
-// Lists tells the lists of engines of this host from others.
-func (b *Balancer) Lists() uint32 {
-	lists := map[uint32]uint32{}
-	for pool, engines := range b.engines() {
-		lists[PoolHash(pool)] = listOf(engines).digest
-	}
-	return digestOf(lists)
-}
-
-// put brings a plan into force; the lock must be held. Of a pool whose engines it does not
-// name and whose list is another one here, what was known stays.
+// put brings a plan into force; the lock must be held.
 func (b *Balancer) put(p *Plan, at time.Time, engines map[string][]*traffic.Upstream) {
 	spread := &Spread{drawnAt: at, weights: map[uint32]uint8{}, means: map[uint32]float64{}, prompts: map[uint32]float64{}}
-	lists := map[uint32]engineList{}
+	pools := map[uint32][]*traffic.Upstream{}
 	for pool, list := range engines {
-		lists[PoolHash(pool)] = listOf(list)
-		b.keepWeights(spread, list)
+		pools[PoolHash(pool)] = list
 	}
-	named := &Plan{Pools: slices.Clone(p.Pools), Prompts: p.Prompts}
-	b.plan, b.planAt, b.spread, b.whole = named, at, spread, true
-	for i, pool := range named.Pools {
+	for _, pool := range p.Pools {
 		spread.means[pool.Pool] = pool.mean()
-		list := lists[pool.Pool]
-		if len(pool.Engines) == 0 && list.digest == pool.List {
-			pool.Engines = packNames(list.engines)
-			named.Pools[i] = pool
-		}
-		if !pool.sound(len(pool.Engines) / namedBytes) {
-			b.whole = false
-			continue
+		named := pool.named()
+		for _, u := range pools[pool.Pool] {
+			e := pool.of(named, u)
+			b.loads.plan(at, u, int(e.load))
+			if e.weight < fullWeight {
+				spread.weights[u.ShortHash()] = e.weight
+			}
 		}
-		b.resolve(pool, list.engines)
 	}
 	for _, prompt := range p.Prompts {
 		spread.prompts[prompt.Prompt] = float64(prompt.Requests)
 	}
-}
-
-// keepWeights takes the weights of engines over that are in force; the lock must be held.
-func (b *Balancer) keepWeights(spread *Spread, engines []*traffic.Upstream) {
-	if b.spread == nil {
-		return
-	}
-	for _, u := range engines {
-		if weight, limited := b.spread.weights[u.ShortHash()]; limited {
-			spread.weights[u.ShortHash()] = weight
-		}
-	}
-}
-
-// resolve takes over what a plan says of a pool's engines; the lock must be held.
-func (b *Balancer) resolve(pool PoolPlan, engines []*traffic.Upstream) {
-	places := pool.places()
-	for _, u := range engines {
-		i, planned := places[u.ShortHash()&CountedHash]
-		if !planned {
-			continue
-		}
-		b.loads.plan(b.planAt, u, int(pool.Loads[i]))
-		delete(b.spread.weights, u.ShortHash())
-		if weight := pool.weight(i); weight < fullWeight {
-			b.spread.weights[u.ShortHash()] = weight
-		}
-	}
+	b.plan, b.planAt, b.spread = p, at, spread
 }
 
 // Draw draws a new plan from what is in progress at all hosts.
@@ -197,26 +150,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.adopt(now)
-	plan := &Plan{Prompts: b.hot(now, all.Prompts)}
+	var drafts []poolDraft
 	known := map[uint32]bool{}
 	for _, pool := range slices.Sorted(maps.Keys(engines)) {
-		list := listOf(engines[pool])
-		part := PoolPlan{Pool: PoolHash(pool), List: list.digest, Engines: packNames(list.engines)}
-		levels, mean := b.measure(now, list.engines, all.Engines)
-		most := b.ceiling(now, pool, list.engines, all.Engines, mean)
-		var weights []uint8
-		for _, l := range levels {
-			part.Loads = append(part.Loads, uint8(min(math.Round(l.load), math.MaxUint8)))
-			weights = append(weights, uint8(l.weigh(now, mean, most)))
-		}
-		part.Weights = packWeights(weights)
-		plan.Pools = append(plan.Pools, part)
-		for _, u := range list.engines {
-			known[u.ShortHash()] = true
+		list := engines[pool]
+		levels, mean := b.measure(now, list, all.Engines)
+		most := b.ceiling(now, pool, list, all.Engines, mean)
+		draft := poolDraft{pool: PoolHash(pool), mean: mean}
+		for i, l := range levels {
+			draft.engines = append(draft.engines, plannedEngine{
+				hash: list[i].ShortHash() & engineHashMask, load: uint8(min(math.Round(l.load), math.MaxUint8)), weight: uint8(l.weigh(now, mean, most)),
+			})
+			known[list[i].ShortHash()] = true
 		}
+		drafts = append(drafts, draft)
 	}
 	maps.DeleteFunc(b.levels, func(hash uint32, _ *level) bool { return !known[hash] })
-	b.put(plan, now, engines)
+	b.put(planOf(drafts, b.hot(now, all.Prompts)), now, engines)
 	b.drawnAt = now
 }
 
