--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"maps"
 	"sync"
 	"time"
@@ -36,8 +37,14 @@
 	mostSteps = 10
 	// exchangeTimeout is how long beyond its waiting an exchange may take.
 	exchangeTimeout = 300 * time.Millisecond
-	// neighborLifetime is after how long a host that was not heard of is no neighbor any more:
-	// three calls.
+	// presentFor is for how long after its last call a host counts as being below: a call is
+	// held for followWait, and the next one follows when the hosts below that one have called.
+	// When half of the hosts lost power, those that had followed them told others after 1.1 s;
+	// counted for 2.4 s at the dead ones' own neighbors too, 300 requests were taken for 690.
+	presentFor = followWait + mostSteps*gatherStep
+	// neighborLifetime is after how long what a host has told is told again in full, and counts
+	// no longer where it is passed on: three calls. What it told is kept for twice as long, or
+	// one that is late by a little would count with what has changed since alone.
 	neighborLifetime = 3 * followWait
 )
 
@@ -112,8 +119,7 @@
 func (n *neighbors) allMet(since time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.forget(since)
-	for _, b := range n.below {
+	for _, b := range n.present(since) {
 		if b.at.Before(since) {
 			return false
 		}
@@ -125,9 +131,8 @@
 func (n *neighbors) steps(now time.Time) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.forget(now)
 	steps := 0
-	for _, b := range n.below {
+	for _, b := range n.present(now) {
 		steps = max(steps, b.steps+1)
 	}
 	return steps
@@ -154,14 +159,16 @@
 	n.below[host] = b
 }
 
-// sum returns this host's own scores and those of the hosts below, added up.
-func (n *neighbors) sum(now time.Time, own map[uint32]float64) map[uint32]float64 {
+// sum returns this host's own scores and those of the hosts below but the one given, added up.
+func (n *neighbors) sum(now time.Time, own map[uint32]float64, but string) map[uint32]float64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.forget(now)
 	sum := map[uint32]float64{}
 	maps.Copy(sum, own)
-	for _, b := range n.below {
+	for host, b := range n.present(now) {
+		if host == but {
+			continue
+		}
 		for upstream, score := range b.scores {
 			sum[upstream] += score
 		}
@@ -169,15 +176,16 @@
 	return sum
 }
 
-// sumInProgress returns what is in progress at this host and the hosts below, added up.
-func (n *neighbors) sumInProgress(now time.Time, own placement.InProgress) placement.InProgress {
+// sumInProgress returns what is in progress at this host and the hosts below but the one given, added up.
+func (n *neighbors) sumInProgress(now time.Time, own placement.InProgress, but string) placement.InProgress {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.forget(now)
 	sum := placement.InProgress{Engines: map[uint32]int{}, Prompts: map[uint32]int{}}
 	add(sum, own)
-	for _, b := range n.below {
-		add(sum, b.inProgress)
+	for host, b := range n.present(now) {
+		if host != but {
+			add(sum, b.inProgress)
+		}
 	}
 	return sum
 }
@@ -199,9 +207,24 @@
 	return n.region
 }
 
-// forget drops hosts that were not heard of for long; the lock must be held.
-func (n *neighbors) forget(now time.Time) {
-	maps.DeleteFunc(n.below, func(_ string, b neighbor) bool { return now.Sub(b.at) > neighborLifetime })
+// present returns the hosts that are below, and forgets those that were not heard of for long;
+// the lock must be held.
+func (n *neighbors) present(now time.Time) iter.Seq2[string, neighbor] {
+	maps.DeleteFunc(n.below, func(_ string, b neighbor) bool { return now.Sub(b.at) > 2*neighborLifetime })
+	return func(yield func(string, neighbor) bool) {
+		for host, b := range n.below {
+			if now.Sub(b.at) <= presentFor && !yield(host, b) {
+				return
+			}
+		}
+	}
+}
+
+// left takes in that a host tells another one from now on.
+func (n *neighbors) left(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.below, host)
 }
 
 // exchangeAll draws plans while this host is the region's first one, and exchanges with that
@@ -234,7 +257,10 @@
 		// It knows nothing, or no longer.
 		s.toldTo, s.told = parent.Name, account{}
 	}
-	sum := s.inProgress(now)
+	s.countedAt(parent)
+	// What the host above has told itself, while each takes the other for the one above, would
+	// come back to it, and be added again with each call.
+	sum := s.neighbors.sumInProgress(now, s.options.Plans.InProgress(), parent.Name)
 	if _, ok := s.directory.LoadParent(now); !ok {
 		// All comes together here. What went on would come back, and be added again.
 		sum = placement.InProgress{}
@@ -244,7 +270,7 @@
 		First:   len(s.told) == 0,
 		Engines: packCounts(sum.Engines, s.told.changed(sum.Engines)),
 		Prompts: packCounts(sum.Prompts, most(sum.Prompts, mostPromptsTold)),
-		Scores:  packScores(s.neighbors.sum(now, s.evidence.Scores())),
+		Scores:  packScores(s.neighbors.sum(now, s.evidence.Scores(), parent.Name)),
 		PlanAge: neverListed,
 		Steps:   s.neighbors.steps(now),
 	}
@@ -255,6 +281,32 @@
 	return args
 }
 
+// countedAt takes in which host counts what this one tells, and has the one that did so before
+// count it no longer; the lock of telling must be held. Ranks change whenever a host comes or goes, and
+// with them whom the others follow; without this what these tell would be counted at both for
+// presentFor.
+func (s *Source) countedAt(parent Peer) {
+	before := s.counts
+	s.counts = parent
+	if before.Name == "" || before.Name == parent.Name {
+		return
+	}
+	go s.takeLeave(before)
+}
+
+// takeLeave has a host no longer count what this one told it.
+func (s *Source) takeLeave(of Peer) {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	// The client that followed it may be closed by now.
+	client := s.newClient(of.Secret)
+	defer client.Close()
+	var reply ExchangeReply
+	if err := client.Call(ctx, of.Address, exchangeCall, &ExchangeArgs{Host: s.options.Name, Leaves: true}, &reply); err != nil {
+		logrus.WithError(err).WithField("peer", of.Name).Debug("fleet: A host that was followed was not told of that.")
+	}
+}
+
 // notTold takes in that it is not known whether the host above was told.
 func (s *Source) notTold() {
 	s.telling.Lock()
@@ -265,7 +317,7 @@
 // gather takes in, as the region's first host, what all hosts have told, and draws a plan.
 func (s *Source) gather(now time.Time) {
 	own := s.evidence.Scores()
-	s.neighbors.setRegion(now, s.neighbors.sum(now, own))
+	s.neighbors.setRegion(now, s.neighbors.sum(now, own, ""))
 	s.evidence.TakeScores(without(s.neighbors.all(now), own))
 	s.options.Plans.Draw(now, s.inProgress(now))
 	s.tellOfPlan(now)
@@ -286,7 +338,7 @@
 
 // inProgress returns what is in progress at this host and those below.
 func (s *Source) inProgress(now time.Time) placement.InProgress {
-	return s.neighbors.sumInProgress(now, s.options.Plans.InProgress())
+	return s.neighbors.sumInProgress(now, s.options.Plans.InProgress(), "")
 }
 
 // answer returns what a host below does not know yet that called at a moment.
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -78,6 +78,8 @@
 // ExchangeArgs are what a host and those below it know of loads.
 type ExchangeArgs struct {
 	Host string
+	// Leaves is set if the host tells another one from now on; nothing else is set then.
+	Leaves bool
 	// Engines are the requests in progress at engines, of the host and those below it, where
 	// they have changed since the last call; First is set if nothing was told before.
 	Engines Counts
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -118,9 +118,13 @@
 }
 
 // Exchange takes in what another host knows, and returns what this one does when it has a plan
-// that the other one has not been told.
+// that the other one has not been told. One that leaves is told nothing.
 func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
 	called := time.Now()
+	if args.Leaves {
+		s.source.neighbors.left(args.Host)
+		return nil
+	}
 	s.source.neighbors.met(called, args)
 	timer := time.NewTimer(followWait)
 	defer timer.Stop()
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -131,6 +131,8 @@
 	toldTo  string
 	told    account
 	toldAt  time.Time
+	// counts is the host that counts what was told; telling guards it too.
+	counts Peer
 	// evidence is what this host holds against upstreams.
 	evidence Evidence
 
