--- a/jackdawd/internal/fleet/directory.go
+++ b/jackdawd/internal/fleet/directory.go
@@ -239,6 +239,9 @@
 	return len(d.hosts) >= largeFleet
 }
 
+// small reports whether there are so few hosts that all may look for the store; the lock must be held.
+func (d *Directory) small() bool { return len(d.hosts) < smallFleet }
+
 // All returns the hosts known.
 func (d *Directory) All() map[string]Notice {
 	d.mu.Lock()
--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -49,6 +49,9 @@
 	// in time for half a minute. A hundred hosts' reads take the store half a second at
 	// most, and callers wait for each tenth of it.
 	largeFleet = 100
+	// smallFleet is below how many hosts each looks for the store itself when the host above has
+	// lost it: 32 hosts then make 80 calls a second, of several hundred that the store takes.
+	smallFleet = 32
 	// startPatience is how long such a host goes on asking others that know nothing
 	// either, and startSpread how much longer at random.
 	startPatience = 1500 * time.Millisecond
@@ -59,9 +62,13 @@
 	mostParents = 3
 	// lostPause is the least time between two questions to a host that has lost the store.
 	lostPause = 300 * time.Millisecond
-	// askElsewhere is the time between two questions to other failure domains' first hosts, of
-	// which each has a few to answer then.
-	askElsewhere = time.Second
+	// lostMargin is how long before its list of upstreams is too old a host that waits for one above
+	// begins to ask other failure domains' first hosts for the store: all of them, then one each
+	// lostPause. It reads the store itself once one of them has it. With half of that hosts
+	// heard 20 ms too late of upstreams that left.
+	lostMargin = 4 * lostPause
+	// leastLost is for how long a host waits in any case for the one above to find the store.
+	leastLost = 100 * time.Millisecond
 	// drainShare is the part of the time for which a leaving upstream may be sent work after
 	// which a reader's keeper asks for the upstreams again.
 	drainShare = 0.75
@@ -149,13 +156,23 @@
 
 // absence is a time for which the host above has lost the store.
 type absence struct {
-	// told is set once a line has told of it, askedAt is when another host was asked for the store.
-	told    bool
-	askedAt time.Time
+	// told is set once a line has told of it, asked counts how often other hosts were asked for the store.
+	told  bool
+	asked int
 	// elsewhere is set once another host had the store.
 	elsewhere bool
 }
 
+// ask returns which of the other hosts are to be asked: all of them first, then one after the other. The
+// store may serve some hosts and reject others, so that one alone says little.
+func (a *absence) ask(others []Peer) []Peer {
+	a.asked++
+	if a.asked == 1 {
+		return others
+	}
+	return others[a.asked%len(others):][:1]
+}
+
 // waitsFor reports whether a host waits for the one above, which answers but has lost the
 // store, instead of asking the store itself. It is up to the first hosts of the failure
 // domains to find a way to the store; when the store was away for eight seconds, 195 hosts
@@ -166,19 +183,18 @@
 	if !errors.As(err, &stale) {
 		return false
 	}
-	other, ok := c.directory.Elsewhere(time.Now())
-	if !ok {
+	others := c.directory.Elsewhere(time.Now())
+	if len(others) == 0 {
 		return false
 	}
 	if !away.told {
 		away.told = true
 		logrus.WithError(err).WithField("peer", stale.Reader).Info("fleet: The host above has lost the store. It is waited for.")
 	}
-	if c.ListAge() < c.mostLost() || time.Since(away.askedAt) < askElsewhere {
+	if c.ListAge() < c.mostLost() {
 		return true
 	}
-	away.askedAt = time.Now()
-	if c.hasLostStore(ctx, other) {
+	if c.allHaveLostStore(ctx, away.ask(others)) {
 		return true
 	}
 	// After a long absence the store has just come back, and the host above needs a moment more.
@@ -191,7 +207,17 @@
 // question there and a read of the store fit into the time for which an upstream that leaves
 // may be sent work.
 func (s *Source) mostLost() time.Duration {
-	return time.Duration(float64(s.pace.Load())/drainShare) - 2*followTimeout
+	return max(time.Duration(float64(s.pace.Load())/drainShare)-lostMargin, s.oldestList()+leastLost)
+}
+
+// allHaveLostStore reports whether all of some hosts answer that what they know is too old as well.
+func (c configurations) allHaveLostStore(ctx context.Context, others []Peer) bool {
+	for _, other := range others {
+		if !c.hasLostStore(ctx, other) {
+			return false
+		}
+	}
+	return true
 }
 
 // hasLostStore reports whether another host answers that what it knows is too old as well.
@@ -204,7 +230,9 @@
 		c.suspect(ctx, other, err)
 		return false
 	}
-	return reply.List > c.oldestList() || reply.Configuration > c.oldestConfiguration()
+	// When the store has gone for all, the other one may have been told by a reader that had read it later.
+	youngest := c.ListAge() - c.readerInterval()
+	return reply.List > min(youngest, c.oldestList()) || reply.Configuration > c.oldestConfiguration()
 }
 
 // errNoParent says that this host follows none.
@@ -292,12 +320,17 @@
 
 // oldestList returns how old the list of upstreams of a host that is followed may be.
 func (s *Source) oldestList() time.Duration {
-	return time.Duration(readerPace*float64(s.pace.Load())) + listSlack
+	return s.readerInterval() + listSlack
+}
+
+// readerInterval returns how often readers read the list of upstreams.
+func (s *Source) readerInterval() time.Duration {
+	return time.Duration(readerPace * float64(s.pace.Load()))
 }
 
 // oldestConfiguration returns how old the configuration of a host that is followed may be.
 func (s *Source) oldestConfiguration() time.Duration {
-	return 2*readerWait + time.Duration(readerPace*float64(s.pace.Load())) + staleSlack
+	return 2*readerWait + s.readerInterval() + staleSlack
 }
 
 // take takes in the answer of the host above, whose list of upstreams is as old as given.
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -61,6 +61,11 @@
 		// This host has just started and does not know everything itself.
 		return false
 	}
+	if args.Oldest >= neverListed && s.beliefs.Age() > s.source.oldestConfiguration() {
+		// The follower waits for this host to have the store back. Told of the list alone, it would
+		// turn the answer down and pause, and so would those below it, one after the other.
+		return false
+	}
 	since := time.Duration(s.source.listHeard.Load()) - args.Heard
 	return s.source.hasPlanFor(time.Now(), called, &args.Exchange) || c.Configuration().Version() > args.Version || c.End() != args.Position || since < 0 || since >= refreshStep
 }
--- a/jackdawd/internal/fleet/start_test.go
+++ b/jackdawd/internal/fleet/start_test.go
@@ -22,6 +22,7 @@
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/membership"
 	"jackdawhinge/jackdawd/internal/placement"
+	"jackdawhinge/jackdawd/internal/routing"
 	"jackdawhinge/platform"
 	"jackdawhinge/standin/network"
 )
@@ -357,17 +358,20 @@
 	for name, test := range map[string]struct {
 		size  int
 		drain time.Duration
-		// others is how many hosts are turned away beside the readers.
+		// others is how many hosts are turned away beside the readers: the first of their failure
+		// domains before the rest, or any if it is negative.
 		others int
 	}{
-		"eight hosts, readers":       {8, 2 * time.Second, 0},
-		"eight hosts, one more":      {8, 2 * time.Second, 1},
-		"eight hosts, two more":      {8, 2 * time.Second, 2},
-		"eleven hosts, one more":     {11, 2 * time.Second, 1},
-		"ninety hosts, readers":      {90, 3 * time.Second, 0},
-		"ninety hosts, a third":      {90, 3 * time.Second, 28},
-		"two hundred hosts, readers": {200, 4 * time.Second, 0},
-		"two hundred hosts, a third": {200, 4 * time.Second, 65},
+		"eight hosts, readers":         {8, 2 * time.Second, 0},
+		"eight hosts, one more":        {8, 2 * time.Second, 1},
+		"eight hosts, two more":        {8, 2 * time.Second, 2},
+		"eleven hosts, one more":       {11, 2 * time.Second, 1},
+		"ninety hosts, readers":        {90, 3 * time.Second, 0},
+		"ninety hosts, a third":        {90, 3 * time.Second, 28},
+		"two hundred hosts, readers":   {200, 4 * time.Second, 0},
+		"two hundred hosts, a third":   {200, 4 * time.Second, 65},
+		"ninety hosts, any third":      {90, 3 * time.Second, -28},
+		"two hundred hosts, any third": {200, 4 * time.Second, -65},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -390,7 +394,7 @@
 }
 
 // turnReadersAway lets the store reject the hosts that read it, and so many others, first hosts
-// of failure domains before the rest.
+// of failure domains before the rest, or any if the number is negative.
 func (f *hosts) turnReadersAway(others int) {
 	readers := map[string]bool{}
 	for name, p := range f.running {
@@ -401,6 +405,12 @@
 	byRank := slices.SortedFunc(maps.Keys(f.running), func(a, b string) int {
 		return cmp.Or(cmp.Compare(f.steps(a), f.steps(b)), cmp.Compare(a, b))
 	})
+	if others < 0 {
+		others = -others
+		slices.SortFunc(byRank, func(a, b string) int {
+			return cmp.Compare(routing.HashOf(a), routing.HashOf(b))
+		})
+	}
 	away := len(readers) + others
 	for _, name := range byRank {
 		if len(readers) < away {
--- a/jackdawd/internal/fleet/tree.go
+++ b/jackdawd/internal/fleet/tree.go
@@ -77,9 +77,10 @@
 	d.turnedAway = now.Add(longestStale)
 }
 
-// Elsewhere returns the first host of another failure domain, another one for each host that
-// asks, or false if this host is itself the first of its domain or there is no other.
-func (d *Directory) Elsewhere(now time.Time) (Peer, bool) {
+// Elsewhere returns the first hosts of the other failure domains, in another order for each host
+// that asks. There are none for one that need not wait for the host above: a reader, the first of its
+// domain, and all hosts of a small fleet.
+func (d *Directory) Elsewhere(now time.Time) []Peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var others []Peer
@@ -90,13 +91,13 @@
 		case domain != d.self.FailureDomain:
 			others = append(others, ranked[0])
 		case ranked[0].Name == d.self.Name:
-			return Peer{}, false
+			return nil
 		}
 	}
-	if len(others) == 0 || d.contains(d.readers(now), d.self) {
-		return Peer{}, false
+	if d.contains(d.readers(now), d.self) || d.small() {
+		return nil
 	}
-	return d.pick(others), true
+	return d.shuffled(others)
 }
 
 // LoadParent returns the host that this one exchanges loads with, or false if it is the
@@ -197,11 +198,16 @@
 }
 
 // pick returns one of several hosts, another one for each host that picks.
-func (d *Directory) pick(peers []Peer) Peer {
+func (d *Directory) pick(peers []Peer) Peer { return slices.MaxFunc(peers, d.byOwnOrder) }
+
+// shuffled returns hosts in an order of this host's own.
+func (d *Directory) shuffled(peers []Peer) []Peer {
+	return slices.SortedFunc(slices.Values(peers), d.byOwnOrder)
+}
+
+func (d *Directory) byOwnOrder(a, b Peer) int {
 	own := routing.HashOf(d.self.Name)
-	return slices.MaxFunc(peers, func(a, b Peer) int {
-		return cmp.Compare(routing.Score(own, routing.HashOf(a.Name)), routing.Score(own, routing.HashOf(b.Name)))
-	})
+	return cmp.Compare(routing.Score(own, routing.HashOf(a.Name)), routing.Score(own, routing.HashOf(b.Name)))
 }
 
 func (d *Directory) contains(peers []Peer, p Peer) bool {
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -28,10 +28,11 @@
 	listShare = 0.75
 	// retryAfter is the pause after a failed read, which doubles up to longestRetry with
 	// each further one, with jitter of its half: calls cost also while the store is
-	// away, and the hosts must not all come back to it at once. The longest is
-	// well below the time within which a change must be in force.
+	// away, and the hosts must not all come back to it at once. The longest is 1 s with
+	// jitter: one host that reads the store and one that follows it after another are both back
+	// within two seconds of the store.
 	retryAfter   = 200 * time.Millisecond
-	longestRetry = 800 * time.Millisecond
+	longestRetry = 650 * time.Millisecond
 	// lapseGrace is how long after the store's return an upstream whose entry lapsed
 	// meanwhile is still believed in: live upstreams are back within that time.
 	lapseGrace = 2 * time.Second
