--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -512,7 +512,13 @@
 	if u.heard == neverHeard {
 		return
 	}
-	u.heardList(u.heard)
+	heard := u.heard
 	u.heard = neverHeard
+	if int64(heard) <= u.listHeard.Load() {
+		// The host above is behind this one. Taken over, an older moment is news for those below; two
+		// hosts that follow each other would tell theirs to and fro without a pause.
+		return
+	}
+	u.heardList(heard)
 	u.refreshed.raise()
 }
