--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -42,9 +42,9 @@
 	// When half of the hosts lost power, those that had followed them told others after 1.1 s;
 	// counted for 2.4 s at the dead ones' own neighbors too, 300 requests were taken for 690.
 	presentFor = followWait + mostSteps*gatherStep
-	// neighborLifetime is after how long what a host has told is told again in full, and counts
-	// no longer where it is passed on: three calls. What it told is kept for twice as long, or
-	// one that is late by a little would count with what has changed since alone.
+	// neighborLifetime is how long what hosts told of each other holds: three calls. A host that did
+	// not call for longer tells everything again, else only what has changed; so what it told
+	// is kept for twice as long.
 	neighborLifetime = 3 * followWait
 )
 
@@ -159,14 +159,14 @@
 	n.below[host] = b
 }
 
-// sum returns this host's own scores and those of the hosts below but the one given, added up.
-func (n *neighbors) sum(now time.Time, own map[uint32]float64, but string) map[uint32]float64 {
+// sum returns this host's own scores and those of the hosts below except one, added up.
+func (n *neighbors) sum(now time.Time, own map[uint32]float64, except string) map[uint32]float64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	sum := map[uint32]float64{}
 	maps.Copy(sum, own)
 	for host, b := range n.present(now) {
-		if host == but {
+		if host == except {
 			continue
 		}
 		for upstream, score := range b.scores {
@@ -176,14 +176,14 @@
 	return sum
 }
 
-// sumInProgress returns what is in progress at this host and the hosts below but the one given, added up.
-func (n *neighbors) sumInProgress(now time.Time, own placement.InProgress, but string) placement.InProgress {
+// sumInProgress returns what is in progress at this host and the hosts below except one, added up.
+func (n *neighbors) sumInProgress(now time.Time, own placement.InProgress, except string) placement.InProgress {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	sum := placement.InProgress{Engines: map[uint32]int{}, Prompts: map[uint32]int{}}
 	add(sum, own)
 	for host, b := range n.present(now) {
-		if host != but {
+		if host != except {
 			add(sum, b.inProgress)
 		}
 	}
@@ -257,7 +257,7 @@
 		// It knows nothing, or no longer.
 		s.toldTo, s.told = parent.Name, account{}
 	}
-	s.countedAt(parent)
+	s.setCountedBy(parent)
 	// What the host above has told itself, while each takes the other for the one above, would
 	// come back to it, and be added again with each call.
 	sum := s.neighbors.sumInProgress(now, s.options.Plans.InProgress(), parent.Name)
@@ -281,21 +281,20 @@
 	return args
 }
 
-// countedAt takes in which host counts what this one tells, and has the one that did so before
-// count it no longer; the lock of telling must be held. Ranks change whenever a host comes or goes, and
-// with them whom the others follow; without this what these tell would be counted at both for
-// presentFor.
-func (s *Source) countedAt(parent Peer) {
-	before := s.counts
-	s.counts = parent
+// setCountedBy takes in which host counts the requests that this one tells of, and has the one that did so
+// before count them no longer; telling must be locked. Ranks change whenever a host comes or goes, and
+// with them whom the others follow; requests would else be counted at both hosts for presentFor.
+func (s *Source) setCountedBy(parent Peer) {
+	before := s.countedBy
+	s.countedBy = parent
 	if before.Name == "" || before.Name == parent.Name {
 		return
 	}
-	go s.takeLeave(before)
+	go s.unfollow(before)
 }
 
-// takeLeave has a host no longer count what this one told it.
-func (s *Source) takeLeave(of Peer) {
+// unfollow has a host no longer count what this one told it.
+func (s *Source) unfollow(of Peer) {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
 	// The client that followed it may be closed by now.
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -126,13 +126,13 @@
 	version     int64
 	parentHeard time.Duration
 
-	// telling guards what follows: toldTo, told and toldAt are which host was told of requests in progress, what and when.
+	// telling guards what follows up to countedBy: toldTo, told and toldAt are which host was told of requests in progress, what and when.
 	telling sync.Mutex
 	toldTo  string
 	told    account
 	toldAt  time.Time
-	// counts is the host that counts what was told; telling guards it too.
-	counts Peer
+	// countedBy is the host that counts what was told.
+	countedBy Peer
 	// evidence is what this host holds against upstreams.
 	evidence Evidence
 
