--- a/jackdawd/internal/fleet/source_test.go
+++ b/jackdawd/internal/fleet/source_test.go
@@ -503,6 +503,32 @@
 	require.Empty(t, n.all(now.Add(neighborLifetime+1)))
 }
 
+// A host's call comes late: its requests do not count meanwhile. It tells only what has changed since;
+// what it told before counts again with that.
+func TestLateHostIsCountedAgainInFull(t *testing.T) {
+	now, n := time.Unix(1000, 0), newNeighbors()
+	engines := func(at time.Time) map[uint32]int { return n.sumInProgress(at, placement.InProgress{}, "").Engines }
+	n.met(now, &ExchangeArgs{Host: "entry-1", First: true, Engines: packCounts(map[uint32]int{7: 3}, []uint32{7})})
+	require.Equal(t, map[uint32]int{7: 3}, engines(now.Add(presentFor)))
+	require.Empty(t, engines(now.Add(presentFor+1)))
+	now = now.Add(neighborLifetime)
+	n.met(now, &ExchangeArgs{Host: "entry-1", Engines: packCounts(map[uint32]int{8: 1}, []uint32{8})})
+	require.Equal(t, map[uint32]int{7: 3, 8: 1}, engines(now))
+}
+
+// Two hosts each take the other for the one above for a moment. What one told the other is not told
+// back to it: each call would add it once more.
+func TestWhatTheHostAboveToldIsNotToldBack(t *testing.T) {
+	now, n := time.Unix(1000, 0), newNeighbors()
+	for i, host := range []string{"entry-1", "entry-2"} {
+		n.met(now, &ExchangeArgs{
+			Host: host, First: true, Engines: packCounts(map[uint32]int{7: i + 1}, []uint32{7}), Scores: packScores(map[uint32]float64{9: float64(i + 1)}),
+		})
+	}
+	require.Equal(t, map[uint32]int{7: 2}, n.sumInProgress(now, placement.InProgress{}, "entry-1").Engines)
+	require.Equal(t, map[uint32]float64{9: 2}, n.sum(now, nil, "entry-1"))
+}
+
 func TestScoresArePacked(t *testing.T) {
 	scores := map[uint32]float64{7: 1.5, 9: 99}
 	packed := packScores(scores)
