--- a/jackdawd/internal/fleet/source_test.go
+++ b/jackdawd/internal/fleet/source_test.go
@@ -898,6 +898,21 @@
 	require.False(t, c.hasLostStore(t.Context(), other))
 }
 
+// A host has the list of upstreams back, and not yet the configuration. A follower that waits for the store is
+// answered when it has both: it would turn the answer down and pause. One that does not wait is told at
+// once, or it would learn late how old the configuration is.
+func TestFollowerThatWaitsIsAnsweredWithBoth(t *testing.T) {
+	p := newPair(t)
+	s, changes, now := &service{source: p.reader, beliefs: p.known}, p.known.Changes(), time.Now()
+	p.reader.heardList(p.reader.options.Uptime())
+	waits, usual := &FollowArgs{Heard: neverHeard, Oldest: neverListed}, &FollowArgs{Heard: neverHeard, Oldest: p.reader.oldestList()}
+	p.known.behind.Store(int64(p.reader.oldestConfiguration() + 1))
+	require.False(t, s.news(now, waits, changes))
+	require.True(t, s.news(now, usual, changes))
+	p.known.behind.Store(0)
+	require.True(t, s.news(now, waits, changes))
+}
+
 // In a small fleet each host finds its own way to the store.
 func TestHostsOfASmallFleetWaitForNone(t *testing.T) {
 	notices := map[string][]byte{}
