--- /dev/null
+++ b/jackdawd/internal/quarantine/fingerprint_test.go
@@ -0,0 +1,31 @@
+package quarantine
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFingerprintIsOfTheContent(t *testing.T) {
+	same := Content{Workspace: "mailroom", Method: http.MethodPost, Host: "a.example", Target: "/digest/1", Body: []byte("letter")}
+	tests := map[string]struct {
+		change func(c *Content)
+		equal  bool
+	}{
+		"copy":               {func(*Content) {}, true},
+		"another workspace":  {func(c *Content) { c.Workspace = "portal" }, false},
+		"another method":     {func(c *Content) { c.Method = http.MethodGet }, false},
+		"another host":       {func(c *Content) { c.Host = "b.example" }, false},
+		"another path":       {func(c *Content) { c.Target = "/digest/2" }, false},
+		"another body":       {func(c *Content) { c.Body = []byte("other letter") }, false},
+		"text moved between": {func(c *Content) { c.Host, c.Target = "a.example/", "digest/1" }, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			other := same
+			test.change(&other)
+			require.Equal(t, test.equal, same.Fingerprint() == other.Fingerprint())
+		})
+	}
+}
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -15,6 +15,7 @@
 	"jackdawhinge/jackdawd/internal/events"
 	"jackdawhinge/jackdawd/internal/exchange"
 	"jackdawhinge/jackdawd/internal/membership"
+	"jackdawhinge/jackdawd/internal/quarantine"
 	"jackdawhinge/jackdawd/internal/work"
 )
 
@@ -31,6 +32,8 @@
 	route     *traffic.Route
 	workspace traffic.Workspace
 	body      []byte
+	// fingerprint is what copies of the request have in common, set once it is of interest.
+	fingerprint quarantine.Fingerprint
 	// reserved is the room that the body takes of what all bodies may.
 	reserved int64
 
--- a/jackdawd/internal/relay/journal.go
+++ b/jackdawd/internal/relay/journal.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jackdawhinge/jackdawd/internal/quarantine"
 	"jackdawhinge/jackdawd/internal/work"
 )
 
@@ -65,11 +66,13 @@
 
 // A Story is what is told of a request that has ended.
 type Story struct {
-	Request   string
-	Route     string
-	Kind      string
-	Workspace string
-	Pool      string
+	Request string
+	// Fingerprint is set if an answer broke off, to find copies of the request.
+	Fingerprint quarantine.Fingerprint
+	Route       string
+	Kind        string
+	Workspace   string
+	Pool        string
 	// Version is the configuration that the request was checked against, and Age how long before that it had been confirmed.
 	Version int64
 	Age     time.Duration
@@ -109,7 +112,7 @@
 // end tells how the request ended.
 func (j *job) end(o Outcome, status int, refusal *work.Refusal) {
 	s := &Story{
-		Request: j.request.ID, Workspace: j.workspace.Name, Pool: j.pool.Name, Arrived: j.arrived, Steps: j.steps,
+		Request: j.request.ID, Fingerprint: j.fingerprint, Workspace: j.workspace.Name, Pool: j.pool.Name, Arrived: j.arrived, Steps: j.steps,
 		Outcome: o, Status: status, Refusal: refusal, FirstEvent: j.firstEvent, LongestPause: j.longestPause, Took: time.Since(j.arrived), Age: j.age,
 	}
 	if j.route != nil {
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -139,6 +139,7 @@
 	case failed:
 		j.observe(ctx, u, control.Failed)
 	case broken:
+		j.identify()
 		j.observe(ctx, u, control.Broken)
 	default:
 		j.observe(ctx, u, control.Good)
--- a/jackdawd/internal/stories/writer.go
+++ b/jackdawd/internal/stories/writer.go
@@ -135,6 +135,9 @@
 	e := log.WithTime(s.Arrived.Add(s.Took)).WithFields(logrus.Fields{
 		"request": s.Request, "route": s.Route, "workspace": s.Workspace, "status": s.Status, "tries": s.Tries(), "took": s.Took.String(),
 	})
+	if s.Fingerprint != 0 {
+		e = e.WithField("fingerprint", s.Fingerprint.String())
+	}
 	switch s.Outcome {
 	case relay.Answered:
 		e.WithFields(logrus.Fields{"first": s.FirstEvent.String(), "longest-pause": s.LongestPause.String()}).Info("relay: Answered.")
--- a/jackdawd/internal/stories/writer_test.go
+++ b/jackdawd/internal/stories/writer_test.go
@@ -48,6 +48,20 @@
 	require.NotContains(t, out.String(), "plan-age")
 }
 
+// Upstreams break off under copies of one request, each of which bears another identifier. The log
+// shows what they have in common, or nobody could tell the cause of the crashes from its victims.
+func TestCopiesOfARequestShowInTheLog(t *testing.T) {
+	log, out := newLog()
+	w := NewWriter(log, log, telemetry.NewMeter())
+	broken := story("copy-1", relay.BrokenOff, time.Unix(1, 0))
+	broken.Fingerprint = 0xbeef
+	w.Ended(broken)
+	require.Contains(t, out.String(), `"fingerprint":"000000000000beef"`)
+	out.Reset()
+	w.Ended(story("sound", relay.Answered, time.Unix(1, 0)))
+	require.NotContains(t, out.String(), "fingerprint")
+}
+
 func TestOrdinaryAndOtherRequestsAreKeptApart(t *testing.T) {
 	usual, usualOut := newLog()
 	unusual, unusualOut := newLog()
