--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -105,7 +105,7 @@
 		Name: s.Host, Callers: s.Callers, Readiness: s.Readiness, Inner: s.Inner, FailureDomain: s.FailureDomain, Region: s.Region, Near: s.Near,
 		Protocol:       platform.Protocol{},
 		Configurations: platform.NewConfigurationFeed(store), Upstreams: platform.NewUpstreamFeed(store),
-		Peers: s.Peers, Strength: s.Strength, FirstStart: s.FirstStart, Board: platform.NewHostBoard(store), Decode: platform.DecodeConfiguration,
+		Peers: s.Peers, Strength: s.Strength, FirstStart: s.FirstStart, Board: platform.NewHostBoard(store), QuarantineBoard: platform.NewQuarantineBoard(store), Decode: platform.DecodeConfiguration,
 		Bounds: bounds(s.Bounds), MostBodies: int64(float64(s.Memory) * bodiesShare), Meter: meter, Usual: usual, Unusual: logrus.StandardLogger(),
 	})
 	if err != nil {
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -18,6 +18,14 @@
 	m.Gauge("configuration_age_milliseconds", func() int64 { return min(h.keeper.Age(), time.Hour).Milliseconds() })
 	m.Gauge("upstream_list_age_milliseconds", func() int64 { return min(h.source.ListAge(), time.Hour).Milliseconds() })
 	m.Gauge("out_of_touch_milliseconds", func() int64 { return h.keeper.OutOfTouch().Milliseconds() })
+	m.Gauge("requests_suspected", func() int64 {
+		remembered, _ := h.quarantine.Counts()
+		return int64(remembered)
+	})
+	m.Gauge("requests_quarantined", func() int64 {
+		_, barred := h.quarantine.Counts()
+		return int64(barred)
+	})
 	m.Gauge("fleet_bytes", h.source.Bytes)
 	m.Gauge("fleet_hosts", func() int64 {
 		return int64(h.hosts())
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -17,6 +17,7 @@
 	"jackdawhinge/jackdawd/internal/fleet"
 	"jackdawhinge/jackdawd/internal/membership"
 	"jackdawhinge/jackdawd/internal/placement"
+	"jackdawhinge/jackdawd/internal/quarantine"
 	"jackdawhinge/jackdawd/internal/relay"
 	"jackdawhinge/jackdawd/internal/stories"
 	"jackdawhinge/jackdawd/internal/telemetry"
@@ -65,6 +66,8 @@
 	// FirstStart is set while the whole system starts for the first time.
 	FirstStart bool
 	Board      fleet.Board
+	// QuarantineBoard is where the requests that crash upstreams are written.
+	QuarantineBoard fleet.QuarantineBoard
 	// Decode reads a configuration that another host passes on.
 	Decode func(document []byte) (*traffic.Configuration, error)
 	Bounds Bounds
@@ -89,32 +92,35 @@
 
 // A Host is one entry host.
 type Host struct {
-	options  Options
-	bounds   atomic.Pointer[Bounds]
-	budgets  *relay.Budgets
-	source   *fleet.Source
-	keeper   *membership.Keeper
-	client   *exchange.Client
-	loads    *placement.Loads
-	balancer *placement.Balancer
-	handler  *relay.Handler
-	idle     *idleConns
-	callers  *khttp.Server
-	ready    *khttp.Server
-	inner    *khttp.Server
-	stopping atomic.Bool
-	cancel   context.CancelFunc
-	failed   chan error
+	options Options
+	bounds  atomic.Pointer[Bounds]
+	budgets *relay.Budgets
+	source  *fleet.Source
+	keeper  *membership.Keeper
+	client  *exchange.Client
+	// quarantine holds the requests that crash upstreams.
+	quarantine *quarantine.Registry
+	loads      *placement.Loads
+	balancer   *placement.Balancer
+	handler    *relay.Handler
+	idle       *idleConns
+	callers    *khttp.Server
+	ready      *khttp.Server
+	inner      *khttp.Server
+	stopping   atomic.Bool
+	cancel     context.CancelFunc
+	failed     chan error
 }
 
 // NewHost returns a host that has begun to read the configuration.
 func NewHost(o Options) (*Host, error) {
-	h := &Host{options: o, loads: placement.NewLoads(), idle: newIdleConns(), failed: make(chan error, 1)}
+	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), idle: newIdleConns(), failed: make(chan error, 1)}
 	h.bounds.Store(&o.Bounds)
 	h.balancer = placement.NewBalancer(h.loads, h.engines, h.loadMultiple)
 	h.source = fleet.NewSource(fleet.Options{
 		Name: o.Name, FailureDomain: o.FailureDomain, Region: o.Region, Address: o.Peers, Strength: o.Strength, FirstStart: o.FirstStart, Board: o.Board,
 		Configurations: o.Configurations, Upstreams: o.Upstreams, Plans: h.balancer, Uptime: uptime, Decode: o.Decode,
+		Quarantine: h.quarantine, QuarantineBoard: o.QuarantineBoard,
 	})
 	h.keeper = membership.NewKeeper(membership.Options{
 		Configurations: h.source.Configurations(), Upstreams: h.source.Upstreams(), Uptime: uptime, Bounds: o.Bounds.Bounds,
@@ -124,7 +130,7 @@
 	h.budgets = relay.NewBudgets(o.Bounds.RetryRatio)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Members: h.keeper, Client: h.client, Loads: h.loads, Balancer: h.balancer, Warmth: placement.NewWarmth(),
-		Budgets: h.budgets, Admission: admission.NewController(), Journal: stories.NewWriter(o.Usual, o.Unusual, o.Meter),
+		Budgets: h.budgets, Admission: admission.NewController(), Quarantine: h.quarantine, Journal: stories.NewWriter(o.Usual, o.Unusual, o.Meter),
 		FailureDomain: o.FailureDomain, Near: o.Near, MostBodies: o.MostBodies, LoadMultiple: h.loadMultiple, Hosts: h.hosts,
 	})
 	h.registerGauges(o.Meter)
--- a/jackdawd/internal/exchange/errors.go
+++ b/jackdawd/internal/exchange/errors.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"syscall"
 )
 
 // ErrBusy says that as many connections to the upstream are open as are allowed; nothing was sent.
@@ -34,6 +36,17 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// Ended reports whether an error says that the upstream ended the connection, as it does when its
+// process is gone; it did not just fall silent or answer something else.
+func Ended(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // A CrossedError says that the answer belongs to another request.
 type CrossedError struct {
 	Want, Got string
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -19,6 +19,8 @@
 	followCall   = serviceName + ".Follow"
 	exchangeCall = serviceName + ".Exchange"
 	ageCall      = serviceName + ".Age"
+	reportCall   = serviceName + ".Report"
+	casesCall    = serviceName + ".Cases"
 )
 
 // FollowArgs say how far a follower is.
--- /dev/null
+++ b/jackdawd/internal/fleet/quarantine_test.go
@@ -0,0 +1,200 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/common/pause"
+	"jackdawhinge/jackdawd/internal/quarantine"
+)
+
+const (
+	// crashing is the request of these tests.
+	crashing = quarantine.Fingerprint(0xc0ffee)
+	// knownWithin is within which time all hosts must keep a request from upstreams after the third has ended.
+	knownWithin = 3 * time.Second
+	// knownAlone is within which time those must whom only the store still tells.
+	knownAlone = time.Second
+)
+
+// boardRecord is one notice of a request on the board.
+type boardRecord struct {
+	request string
+	notice  []byte
+}
+
+// quarantineView is the board of barred requests as one process follows it.
+type quarantineView struct {
+	*storeView
+	read int
+}
+
+// Put writes a notice.
+func (v *quarantineView) Put(ctx context.Context, request string, notice []byte) error {
+	if err := v.call(ctx); err != nil {
+		return err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.barred = append(v.barred, boardRecord{request, notice})
+	return nil
+}
+
+// Next waits until notices are written, for a while at most, and returns them.
+func (v *quarantineView) Next(ctx context.Context, wait time.Duration) (map[string][]byte, error) {
+	const look = 10 * time.Millisecond
+	if err := v.call(ctx); err != nil {
+		return nil, err
+	}
+	for until := time.Now().Add(wait); ; pause.For(ctx, look) {
+		v.mu.Lock()
+		notices := map[string][]byte{}
+		for _, r := range v.barred[v.read:] {
+			notices[r.request] = r.notice
+		}
+		v.read = len(v.barred)
+		v.mu.Unlock()
+		if len(notices) > 0 || ctx.Err() != nil || time.Now().After(until) {
+			return notices, ctx.Err()
+		}
+	}
+}
+
+// crash lets a host see that an upstream ended under the request.
+func (f *hosts) crash(host, upstream int) {
+	f.running[fmt.Sprintf("entry-%d", host)].quarantine.Crashed(time.Now(), crashing, uint32(upstream), 60*time.Millisecond)
+}
+
+// barring returns how many hosts keep the request from upstreams.
+func (f *hosts) barring() int {
+	n := 0
+	for _, p := range f.running {
+		if _, barred := p.quarantine.Barred(time.Now(), crashing); barred {
+			n++
+		}
+	}
+	return n
+}
+
+// untilAllBar waits until all hosts keep the request from upstreams, and fails if that takes too long.
+func (f *hosts) untilAllBar(most time.Duration) {
+	f.t.Helper()
+	since := time.Now()
+	for f.barring() < len(f.running) {
+		require.Less(f.t, time.Since(since), most, "%d of %d hosts know", f.barring(), len(f.running))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Copies of a request that ends its upstreams come to three hosts, each of which sees one crash and
+// knows nothing of the others'. Did each go by its own, a fleet of 200 hosts would let three upstreams end at
+// each of them. What they saw is added up, and within three seconds no host sends the request to an upstream,
+// also while the store is away.
+func TestCrashesAtSeveralHostsAddUp(t *testing.T) {
+	for name, test := range map[string]struct {
+		size int
+		away bool
+	}{
+		"eight hosts":                   {8, false},
+		"ninety hosts":                  {90, false},
+		"two hundred hosts":             {200, false},
+		"eight hosts without store":     {8, true},
+		"two hundred hosts, store lost": {200, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHosts(t)
+				defer f.end()
+				f.size = test.size
+				f.startAll(true)
+				f.untilAllKnow()
+				time.Sleep(5 * time.Second)
+				f.store.setAway(test.away)
+				for n, host := range []int{1, test.size / 2, test.size - 1} {
+					f.crash(host, n)
+					time.Sleep(500 * time.Millisecond)
+				}
+				f.untilAllBar(knownWithin - 500*time.Millisecond)
+			})
+		})
+	}
+}
+
+// Many requests end with their upstream at the same moment, and each host tells of them. The one that
+// ends upstreams is not told later for it.
+func TestVictimsDoNotDelayTheNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHosts(t)
+		defer f.end()
+		f.startAll(true)
+		f.untilAllKnow()
+		time.Sleep(5 * time.Second)
+		for n, host := range []int{1, 100, 199} {
+			for i, p := range slices.Collect(maps.Values(f.running)) {
+				for victim := range 50 {
+					p.quarantine.Crashed(time.Now(), quarantine.Fingerprint(1000*n+100*i+victim), uint32(n), time.Second)
+				}
+			}
+			f.crash(host, n)
+			time.Sleep(500 * time.Millisecond)
+		}
+		f.untilAllBar(knownWithin - 500*time.Millisecond)
+	})
+}
+
+// All hosts are killed after a request was barred. Those that start again hear of it before a second
+// has passed, or the caller who still sends it would end three upstreams more.
+func TestBarredRequestOutlastsAllHosts(t *testing.T) {
+	for name, size := range map[string]int{"eight hosts": 8, "two hundred hosts": 200} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHosts(t)
+				defer f.end()
+				f.size = size
+				f.startAll(true)
+				f.untilAllKnow()
+				time.Sleep(5 * time.Second)
+				for n := range 3 {
+					f.crash(1, n)
+					time.Sleep(500 * time.Millisecond)
+				}
+				f.untilAllBar(knownWithin)
+				f.killAll()
+				time.Sleep(time.Second)
+				f.startAll(false)
+				f.untilAllKnow()
+				f.untilAllBar(knownAlone)
+				calls := f.store.count()
+				time.Sleep(10 * time.Second)
+				require.Less(t, f.store.count()-calls, 10*8, "two readers read the store as before, and wait for notices")
+			})
+		})
+	}
+}
+
+// A host is killed and starts again while the others stay: it hears from the host above.
+func TestHostThatStartsHearsOfBarredRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHosts(t)
+		defer f.end()
+		f.size = 30
+		f.startAll(true)
+		f.untilAllKnow()
+		time.Sleep(5 * time.Second)
+		for n := range 3 {
+			f.crash(2, n)
+			time.Sleep(200 * time.Millisecond)
+		}
+		f.untilAllBar(knownWithin)
+		f.kill("entry-17")
+		f.start(17, false)
+		f.untilAllBar(knownAlone)
+	})
+}
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -85,6 +85,9 @@
 	Configurations StoreConfigurations
 	Upstreams      StoreUpstreams
 	Plans          Plans
+	// Quarantine holds the requests that end upstreams; QuarantineBoard is where they are written.
+	Quarantine      Quarantine
+	QuarantineBoard QuarantineBoard
 	// Uptime is a steady clock that also counts the time for which the host was suspended.
 	Uptime func() time.Duration
 	// Decode reads a configuration that another host passes on.
@@ -135,6 +138,8 @@
 	countedBy Peer
 	// evidence is what this host holds against upstreams.
 	evidence Evidence
+	// written are the requests that stand on the board.
+	written written
 
 	// intake keeps what is read from the store and what other hosts tell in order.
 	intake intake
@@ -178,6 +183,7 @@
 		patientUntil: time.Now().Add(startPatience + mathrand.N(startSpread)),
 		changes:      make(chan told, queuedChanges), left: make(chan struct{}, 1), refreshed: newSignal(), planned: newSignal(),
 	}
+	s.written.requests = map[string]bool{}
 	s.intake.until, s.heard = neverHeard, neverHeard
 	s.listHeard.Store(int64(o.Uptime() - neverListed))
 	s.pace.Store(int64(usualPace))
@@ -189,6 +195,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.evidence = beliefs
+	s.done.Go(func() { s.readBoard(ctx) })
+	s.done.Go(func() { s.writeBoard(ctx) })
 	if s.options.Address == "" {
 		close(s.joined)
 		return
@@ -198,6 +206,8 @@
 		s.serve(ctx, beliefs)
 		close(s.joined)
 		s.done.Go(func() { s.exchangeAll(ctx) })
+		s.done.Go(func() { s.reportCases(ctx) })
+		s.done.Go(func() { s.followCases(ctx) })
 		s.followDirectory(ctx)
 	})
 }
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -72,6 +72,7 @@
 	Warmth        *placement.Warmth
 	Budgets       *Budgets
 	Admission     *admission.Controller
+	Quarantine    Quarantine
 	Journal       Journal
 	FailureDomain string
 	// Near reports whether a failure domain lies in this host's region.
@@ -159,7 +160,10 @@
 	if err := j.out.SetWriteDeadline(j.deadline.Add(answerSlack)); err != nil {
 		return work.Refuse(http.StatusServiceUnavailable, work.BadRequest, "the connection takes no deadline")
 	}
-	return j.readBody(c.Limits().BodyBytes)
+	if refusal := j.readBody(c.Limits().BodyBytes); refusal != nil {
+		return refusal
+	}
+	return j.checkQuarantine()
 }
 
 func (j *job) findRoute(c *traffic.Configuration) *work.Refusal {
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -34,6 +34,8 @@
 	body      []byte
 	// fingerprint is what copies of the request have in common, set once it is of interest.
 	fingerprint quarantine.Fingerprint
+	// suspected is set if an upstream ended under the request, or others have under copies of it.
+	suspected bool
 	// reserved is the room that the body takes of what all bodies may.
 	reserved int64
 
@@ -53,6 +55,8 @@
 	fetchFrom *traffic.Upstream
 	// tried names the upstreams that were sent the request or could not be reached.
 	tried []traffic.Start
+	// triedAt is when the last try began.
+	triedAt time.Time
 	// sent counts the upstreams that were sent the request.
 	sent int
 	// mayHaveRun is set once an upstream may have executed the request.
@@ -173,8 +177,11 @@
 
 // denied returns why a request may not be tried again, or "" if it may.
 func (j *job) denied(r result) string {
+	_, barred := j.barred()
 	harmless := r.verdict == rejected || r.verdict == replaced || j.route.Repeatable()
 	switch {
+	case barred:
+		return barredReason
 	case r.verdict == unsent:
 		// No upstream has seen it, so that trying another costs none of them anything.
 		return ""
@@ -218,6 +225,11 @@
 		return r
 	case j.mayHaveRun:
 		return work.Uncertain(work.UpstreamFailed, "no whole answer came: %v", last.err)
+	}
+	if r := j.checkQuarantine(); r != nil {
+		return r
+	}
+	switch {
 	case j.full != nil:
 		return j.full
 	case len(j.tried) == 0:
--- a/jackdawd/internal/relay/journal.go
+++ b/jackdawd/internal/relay/journal.go
@@ -67,7 +67,7 @@
 // A Story is what is told of a request that has ended.
 type Story struct {
 	Request string
-	// Fingerprint is set if an answer broke off, to find copies of the request.
+	// Fingerprint is set if an upstream ended under the request, or others have under copies of it.
 	Fingerprint quarantine.Fingerprint
 	Route       string
 	Kind        string
@@ -112,9 +112,12 @@
 // end tells how the request ended.
 func (j *job) end(o Outcome, status int, refusal *work.Refusal) {
 	s := &Story{
-		Request: j.request.ID, Fingerprint: j.fingerprint, Workspace: j.workspace.Name, Pool: j.pool.Name, Arrived: j.arrived, Steps: j.steps,
+		Request: j.request.ID, Workspace: j.workspace.Name, Pool: j.pool.Name, Arrived: j.arrived, Steps: j.steps,
 		Outcome: o, Status: status, Refusal: refusal, FirstEvent: j.firstEvent, LongestPause: j.longestPause, Took: time.Since(j.arrived), Age: j.age,
 	}
+	if j.suspected {
+		s.Fingerprint = j.fingerprint
+	}
 	if j.route != nil {
 		s.Route, s.Kind = j.route.Name, string(j.route.Kind)
 	}
--- a/jackdawd/internal/relay/quarantine_test.go
+++ b/jackdawd/internal/relay/quarantine_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/jackdawd/internal/work"
 )
 
 const (
@@ -98,3 +100,93 @@
 		time.Sleep(2 * downFor)
 	})
 }
+
+// The same with a request that must not run twice, and with one that may be repeated, at plain services. What
+// is refused as not run has not run.
+func TestRequestsOfAllKindsAreKeptAway(t *testing.T) {
+	tests := map[string]struct{ method, path string }{
+		"non-idempotent": {http.MethodPost, "/notice/crashing"},
+		"idempotent":     {http.MethodGet, "/scan/crashing"},
+		"public":         {http.MethodGet, "/open/crashing"},
+	}
+	runners := []string{"mailbox-1", "mailbox-2", "mailbox-3", "mailbox-4", "mailbox-5", "mailbox-6"}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			run(t, runners, func(t *testing.T, f *fixture) {
+				c := f.crashOn(test.path)
+				refused := 0
+				for n := range 20 {
+					id := fmt.Sprintf("crashing-%d", n)
+					got := f.do(f.request(test.method, test.path, id, ""))
+					if got.err == nil && got.status == http.StatusServiceUnavailable {
+						refused++
+						require.Zero(t, f.runs(id), "refused as not run")
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+				require.LessOrEqual(t, c.repeats(), mostRepeats)
+				require.Greater(t, refused, 10)
+				require.Equal(t, http.StatusOK, f.do(f.request(test.method, strings.TrimSuffix(test.path, "crashing")+"sound", "other", "")).status)
+				time.Sleep(2 * downFor)
+			})
+		})
+	}
+}
+
+// Many callers ask for the same page. Upstreams are lost one after the other while they work on it, and
+// others answer. The page is not at fault, and callers go on to get it.
+func TestPopularRequestIsNotTakenForTheCause(t *testing.T) {
+	run(t, []string{"mailbox-1", "mailbox-2", "mailbox-3", "mailbox-4"}, func(t *testing.T, f *fixture) {
+		for n, u := range f.feed.upstreams {
+			runner := f.runners[u.ID]
+			runner.SetBehavior(dropped(runner))
+			for i := range 8 {
+				f.do(f.request(http.MethodGet, "/scan/popular", fmt.Sprintf("during-%d-%d", n, i), ""))
+				time.Sleep(100 * time.Millisecond)
+			}
+			runner.SetBehavior(nil)
+			for i := range 8 {
+				got := f.do(f.request(http.MethodGet, "/scan/popular", fmt.Sprintf("after-%d-%d", n, i), ""))
+				require.Equal(t, http.StatusOK, got.status)
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+	})
+}
+
+// All upstreams are lost at one moment, as when a switch fails. Those who were served there come back with the
+// same request and are served.
+func TestLossOfManyUpstreamsSpeaksAgainstNoRequest(t *testing.T) {
+	run(t, []string{"reader-1", "reader-2", "reader-3", "reader-4"}, func(t *testing.T, f *fixture) {
+		var callers sync.WaitGroup
+		for n := range 40 {
+			callers.Go(func() { f.do(f.stream("/digest/same", fmt.Sprintf("lost-%d", n), 50)) })
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, u := range f.feed.upstreams {
+			f.net.Kill(u.Address)
+		}
+		callers.Wait()
+		for _, u := range f.feed.upstreams {
+			f.net.Serve(u.Address, f.runners[u.ID])
+		}
+		time.Sleep(downFor)
+		require.Equal(t, http.StatusOK, f.do(f.stream("/digest/same", "again", 4)).status)
+	})
+}
+
+// A request that was just barred does not go on to its next upstream.
+func TestBarredRequestIsNotTriedAgain(t *testing.T) {
+	run(t, []string{"reader-1", "reader-2", "reader-3", "reader-4"}, func(t *testing.T, f *fixture) {
+		c := f.crashOn(crashingPath)
+		for n := range 4 {
+			f.do(f.stream(crashingPath, fmt.Sprintf("crashing-%d", n), 4))
+		}
+		require.Len(t, c.reached, mostCrashes)
+		steps := f.journal.stories[1].Steps
+		require.Equal(t, barredReason, steps[len(steps)-1].Reason)
+		require.NotZero(t, f.journal.last().Fingerprint)
+		require.Equal(t, work.Quarantined, f.journal.last().Refusal.Code)
+		time.Sleep(2 * downFor)
+	})
+}
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -56,6 +56,7 @@
 func (j *job) try(ctx context.Context, u *traffic.Upstream) result {
 	j.tried = append(j.tried, u.Start())
 	now := time.Now()
+	j.triedAt = now
 	j.Loads.Begin(now, u)
 	if j.cached {
 		j.Balancer.Begin(j.key)
@@ -134,12 +135,12 @@
 	if r.verdict == answered && j.cached {
 		j.Warmth.Used(time.Now(), j.key, u.Start())
 	}
+	j.suspect(u, r)
 	switch r.verdict {
 	case callerLeft:
 	case failed:
 		j.observe(ctx, u, control.Failed)
 	case broken:
-		j.identify()
 		j.observe(ctx, u, control.Broken)
 	default:
 		j.observe(ctx, u, control.Good)
--- a/jackdawd/internal/work/refusal.go
+++ b/jackdawd/internal/work/refusal.go
@@ -48,6 +48,8 @@
 	Stopping          Code = "stopping"
 	NotReady          Code = "not-ready"
 	Cancelled         Code = "cancelled"
+	// Quarantined requests are those under which upstreams have crashed.
+	Quarantined Code = "quarantined"
 )
 
 // A Refusal is the typed error that a caller gets in place of an answer.
