--- a/common/traffic/request.go
+++ b/common/traffic/request.go
@@ -81,6 +81,8 @@
 	Events bool
 	// Load is nil if the upstream does not tell its load.
 	Load *Load
+	// Leaving is the upstream's word that it leaves, which its entry may not say yet.
+	Leaving bool
 	// IdleTimeout is when the upstream closes the connection if nothing is sent on it; 0 if it does not say.
 	IdleTimeout time.Duration
 }
--- a/jackdawd/internal/membership/beliefs.go
+++ b/jackdawd/internal/membership/beliefs.go
@@ -25,6 +25,7 @@
 	lapsing  map[string]time.Time
 	evidence *control.Evidence
 	avoided  map[string]bool
+	leavers  *leavers
 	log      changeLog
 }
 
@@ -158,6 +159,10 @@
 		// it. An upstream that lives numbers its next entry higher.
 		return false
 	}
+	if b.leavers.has(u.Start()) || known && order == 0 && old.State == traffic.Leaving {
+		// Of two entries of one number another host made one from what the upstream said since.
+		u.State = traffic.Leaving
+	}
 	_, back := b.lapsing[u.ID]
 	if back && order == 0 {
 		return false
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -95,9 +95,11 @@
 	changes    atomic.Pointer[Changes]
 	// scores are what speaks against upstreams here, by the short hash of their identifiers.
 	scores atomic.Pointer[map[uint32]float64]
-	inputs chan func(*beliefs)
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	// leavers are the upstreams that said in an answer that they leave.
+	leavers *leavers
+	inputs  chan func(*beliefs)
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 }
 
 // never stands for a read that was not yet answered.
@@ -106,10 +108,10 @@
 // NewKeeper returns a keeper that has started to read.
 func NewKeeper(o Options) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
-	k := &Keeper{options: o, inputs: make(chan func(*beliefs), inputBuffer), cancel: cancel}
+	k := &Keeper{options: o, leavers: &leavers{starts: map[traffic.Start]time.Time{}}, inputs: make(chan func(*beliefs), inputBuffer), cancel: cancel}
 	k.heard.Store(never)
 	k.SetBounds(o.Bounds)
-	b := &beliefs{log: newChangeLog(), listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, since: map[string]time.Time{}, newest: map[string]entryOrder{}, evidence: control.NewEvidence()}
+	b := &beliefs{log: newChangeLog(), listed: map[string]traffic.Upstream{}, lapsing: map[string]time.Time{}, since: map[string]time.Time{}, newest: map[string]entryOrder{}, evidence: control.NewEvidence(), leavers: k.leavers}
 	k.publish(b)
 	k.done.Go(func() { k.run(ctx, b) })
 	k.done.Go(func() { k.followConfiguration(ctx) })
@@ -224,6 +226,35 @@
 	}
 }
 
+// Leaves takes in that an upstream said in an answer that it leaves; it never blocks. If control is
+// behind, the next tick acts on it.
+func (k *Keeper) Leaves(start traffic.Start) {
+	if !k.leavers.add(time.Now(), start) {
+		return
+	}
+	logrus.WithField("upstream", start.ID).Info("membership: An upstream says in its answers that it leaves.")
+	select {
+	case k.inputs <- k.takeLeavers:
+	default:
+	}
+}
+
+// takeLeavers takes in which upstreams said that they leave.
+func (k *Keeper) takeLeavers(b *beliefs) {
+	changed := false
+	for id, u := range b.listed {
+		if u.State == traffic.Ready && k.leavers.has(u.Start()) {
+			u.State = traffic.Leaving
+			b.listed[id] = u
+			b.log.add(traffic.Listed(u))
+			changed = true
+		}
+	}
+	if changed {
+		k.publish(b)
+	}
+}
+
 func (k *Keeper) wait() time.Duration {
 	return min(longestWait, time.Duration(waitShare*float64(k.bounds.Load().Revoke)))
 }
@@ -242,6 +273,7 @@
 				k.outOfTouch.Add(int64(tick))
 			}
 			k.expire(b, time.Now())
+			k.takeLeavers(b)
 			k.refresh(b)
 			k.tellScores(b)
 		}
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -60,6 +60,7 @@
 	Current() bool
 	Observe(start traffic.Start, x control.Experience)
 	Lost(start traffic.Start)
+	Leaves(start traffic.Start)
 }
 
 // Options are the parts that a handler is made of.
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -84,8 +84,12 @@
 	if head.Load != nil {
 		j.Loads.Told(time.Now(), u, *head.Load)
 	}
+	replacedBy := head.NotRun && head.Upstream != "" && head.Upstream != u.ID
+	if head.Leaving && !replacedBy {
+		j.Members.Leaves(u.Start())
+	}
 	switch {
-	case head.NotRun && head.Upstream != "" && head.Upstream != u.ID:
+	case replacedBy:
 		j.sent--
 		j.Members.Lost(u.Start())
 		return result{verdict: replaced}
