--- a/common/report/report.go
+++ b/common/report/report.go
@@ -49,14 +49,24 @@
 	Ledger     Ledger           `json:"ledger"`
 	Classes    []Class          `json:"classes"`
 	Upstreams  []Upstream       `json:"upstreams"`
+	// Quarantined are the requests that are refused as upstreams have crashed under them.
+	Quarantined []Quarantined `json:"quarantined,omitempty"`
 }
 
-// Sort puts the classes in order of name, and the upstreams of model and name.
+// A Quarantined is a request that is refused for some time.
+type Quarantined struct {
+	Fingerprint string           `json:"fingerprint"`
+	Crashes     int              `json:"crashes"`
+	Left        targets.Duration `json:"left"`
+}
+
+// Sort puts the classes in order of name, the upstreams of model and name, and the requests of fingerprint.
 func (s *Status) Sort() {
 	slices.SortFunc(s.Classes, func(a, b Class) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(s.Upstreams, func(a, b Upstream) int {
 		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Name, b.Name))
 	})
+	slices.SortFunc(s.Quarantined, func(a, b Quarantined) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 }
 
 // An Explanation is where a chat would go, candidate by candidate, best first.
--- a/jackdaw/internal/cmd/platform_script_test.go
+++ b/jackdaw/internal/cmd/platform_script_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,6 +43,7 @@
 			"occupy":     occupy,
 			"release":    release,
 			"refused":    refused,
+			"find":       find,
 		},
 	})
 }
@@ -219,6 +221,15 @@
 	ts.Fatalf("%s never held %q", args[0], args[1])
 }
 
+// find VARIABLE FILE PATTERN sets a variable to what the pattern's group matches in a file.
+func find(ts *testscript.TestScript, _ bool, args []string) {
+	m := regexp.MustCompile(args[2]).FindStringSubmatch(ts.ReadFile(args[1]))
+	if len(m) < 2 {
+		ts.Fatalf("%s holds no %s", args[1], args[2])
+	}
+	ts.Setenv(args[0], m[1])
+}
+
 // occupied are the listeners of occupy.
 var occupied sync.Map
 
--- a/jackdaw/internal/cmd/statuscmd.go
+++ b/jackdaw/internal/cmd/statuscmd.go
@@ -40,7 +40,10 @@
 				if err := printClasses(w, status.Classes); err != nil {
 					return err
 				}
-				return printUpstreams(w, status.Upstreams)
+				if err := printUpstreams(w, status.Upstreams); err != nil {
+					return err
+				}
+				return printQuarantined(w, status.Quarantined)
 			})
 		},
 	}
@@ -102,6 +105,15 @@
 	return w.Flush()
 }
 
+func printQuarantined(out io.Writer, requests []report.Quarantined) error {
+	for _, r := range requests {
+		if _, err := fmt.Fprintf(out, "request %s is refused for %s: %d upstreams crashed under it\n", r.Fingerprint, time.Duration(r.Left), r.Crashes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // query asks the host of the settings.
 func (c *config) query(ctx context.Context, path string, q url.Values, v any) error {
 	s, err := c.anySettings()
--- a/jackdawd/internal/entry/admin.go
+++ b/jackdawd/internal/entry/admin.go
@@ -44,10 +44,22 @@
 	for name, pool := range snapshot.Pools() {
 		s.Upstreams = append(s.Upstreams, h.describe(name, pool)...)
 	}
+	s.Quarantined = h.quarantined()
 	s.Sort()
 	return s
 }
 
+// quarantined returns the requests that are kept from upstreams.
+func (h *Host) quarantined() []report.Quarantined {
+	now := time.Now()
+	var out []report.Quarantined
+	for _, r := range h.quarantine.AllBarred(now) {
+		left, _ := h.quarantine.Barred(now, r.Request)
+		out = append(out, report.Quarantined{Fingerprint: r.Request.String(), Crashes: len(r.Crashes), Left: targets.Duration(left.Round(time.Second))})
+	}
+	return out
+}
+
 func (h *Host) describe(pool string, upstreams []*traffic.Upstream) []report.Upstream {
 	loads := h.loads.All(time.Now(), upstreams)
 	mean := placement.Choice{Loads: loads}.Mean()
--- a/jackdawd/internal/fleet/quarantine.go
+++ b/jackdawd/internal/fleet/quarantine.go
@@ -33,8 +33,10 @@
 	// boardWait is how long a read of the board waits for a notice. One reader's connection that falls
 	// silent unnoticed then keeps it from hearing of other regions for 11 s, the other one hears.
 	boardWait = 10 * time.Second
-	// boardRetry is the least pause after a call of the board that failed.
-	boardRetry = 2 * time.Second
+	// boardRetry is the pause after a call of the board that failed, which doubles up to longestBoardRetry
+	// with each further one, with jitter of its half: calls cost also while the store is away.
+	boardRetry        = 200 * time.Millisecond
+	longestBoardRetry = 3 * time.Second
 )
 
 // Quarantine holds the requests under which upstreams have ended.
@@ -45,6 +47,8 @@
 	// position that they lead to; News reports whether there are any.
 	Since(now time.Time, p quarantine.Position, least int) ([]quarantine.Record, quarantine.Position)
 	News(p quarantine.Position, least int) bool
+	// Answered takes in that a request is innocent.
+	Answered(now time.Time, f quarantine.Fingerprint)
 	// AllBarred returns the requests that are kept from upstreams.
 	AllBarred(now time.Time) []quarantine.Record
 	// Changed is closed when there is news.
@@ -209,6 +213,11 @@
 	}
 }
 
+// nextBoardRetry returns the pause after a failed call of the board that follows one with the pause given.
+func nextBoardRetry(last time.Duration) time.Duration {
+	return min(max(2*last, boardRetry), longestBoardRetry)
+}
+
 // written is what is known to stand on the board.
 type written struct {
 	mu       sync.Mutex
@@ -243,6 +252,7 @@
 	if s.await(ctx, s.settled) != nil {
 		return
 	}
+	retry := time.Duration(0)
 	for ctx.Err() == nil {
 		if !s.reads() {
 			pause.For(ctx, lookAgain)
@@ -253,20 +263,24 @@
 			if ctx.Err() == nil {
 				logrus.WithError(err).Info("fleet: The notices of barred requests were not read. They are read again.")
 			}
-			pause.For(ctx, boardRetry+rand.N(boardRetry))
+			retry = nextBoardRetry(retry)
+			pause.For(ctx, retry+rand.N(retry/2))
 			continue
 		}
+		retry = 0
 		s.takeNotices(ctx, notices)
 	}
 }
 
-// takeNotices takes in notices from the board, and removes those that hold no longer.
+// takeNotices takes in notices from the board, and removes those that hold no longer. Operators lift a bar by
+// removing its notice.
 func (s *Source) takeNotices(ctx context.Context, notices map[string][]byte) {
 	now := time.Now()
 	var records []quarantine.Record
 	for request, notice := range notices {
 		s.written.set(request, notice != nil)
 		if notice == nil {
+			s.lift(now, request)
 			continue
 		}
 		r, err := quarantine.DecodeNotice(now, request, notice)
@@ -284,16 +298,15 @@
 
 // writeBoard writes notices of barred requests while this host reads the store, until the context ends.
 func (s *Source) writeBoard(ctx context.Context) {
+	retry := time.Duration(0)
 	for ctx.Err() == nil {
 		changed := s.options.Quarantine.Changed()
-		pending := false
-		if s.reads() {
-			pending = !s.writeNotices(ctx)
-		}
-		if pending {
-			pause.For(ctx, boardRetry+rand.N(boardRetry))
+		if s.reads() && !s.writeNotices(ctx) {
+			retry = nextBoardRetry(retry)
+			pause.For(ctx, retry+rand.N(retry/2))
 			continue
 		}
+		retry = 0
 		s.awaitAny(ctx, changed, lookAgain)
 	}
 }
@@ -317,6 +330,16 @@
 	return all
 }
 
+// lift ends the bar of a request whose notice was removed.
+func (s *Source) lift(now time.Time, request string) {
+	f, err := quarantine.ParseFingerprint(request)
+	if err != nil {
+		logrus.WithError(err).Warn("fleet: A notice of a barred request was skipped.")
+		return
+	}
+	s.options.Quarantine.Answered(now, f)
+}
+
 func (s *Source) putNotice(ctx context.Context, request string, notice []byte) bool {
 	if err := s.options.QuarantineBoard.Put(ctx, request, notice); err != nil {
 		logrus.WithError(err).WithField("fingerprint", request).Info("fleet: The notice of a barred request was not written. It is tried again.")
--- a/jackdawd/internal/fleet/quarantine_test.go
+++ b/jackdawd/internal/fleet/quarantine_test.go
@@ -198,3 +198,64 @@
 		f.untilAllBar(knownAlone)
 	})
 }
+
+// The region's first host, which adds up what the others tell, is lost after the second crash. Those
+// that told it tell the next one.
+func TestCrashesAddUpWithoutTheFirstHost(t *testing.T) {
+	for name, size := range map[string]int{"eight hosts": 8, "ninety hosts": 90, "two hundred hosts": 200} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHosts(t)
+				defer f.end()
+				f.size = size
+				f.startAll(true)
+				f.untilAllKnow()
+				time.Sleep(5 * time.Second)
+				others := f.names()
+				first := slices.IndexFunc(others, func(name string) bool {
+					_, follows := f.running[name].source.directory.LoadParent(time.Now())
+					return !follows
+				})
+				lost := others[first]
+				others = slices.Delete(others, first, first+1)
+				for n := range 3 {
+					if n == 2 {
+						f.kill(lost)
+					}
+					f.running[others[n*len(others)/3]].quarantine.Crashed(time.Now(), crashing, uint32(n), 60*time.Millisecond)
+					time.Sleep(500 * time.Millisecond)
+				}
+				f.untilAllBar(knownWithin - 500*time.Millisecond)
+			})
+		})
+	}
+}
+
+// names returns the names of the hosts that run.
+func (f *hosts) names() []string { return slices.Sorted(maps.Keys(f.running)) }
+
+// An operator removes the notice of a request from the store, as the upstreams' software has been mended. All
+// hosts serve it again.
+func TestOperatorsLiftABar(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHosts(t)
+		defer f.end()
+		f.size = 30
+		f.startAll(true)
+		f.untilAllKnow()
+		time.Sleep(5 * time.Second)
+		for n := range 3 {
+			f.crash(n, n)
+			time.Sleep(500 * time.Millisecond)
+		}
+		f.untilAllBar(knownWithin)
+		time.Sleep(2 * time.Second)
+		operator := &quarantineView{storeView: &storeView{countingStore: f.store, host: "operator"}}
+		require.NoError(t, operator.Put(t.Context(), crashing.String(), nil))
+		time.Sleep(knownWithin)
+		require.Zero(t, f.barring())
+		notices, err := operator.Next(t.Context(), 0)
+		require.NoError(t, err)
+		require.Nil(t, notices[crashing.String()], "nobody writes it again")
+	})
+}
--- a/jackdawd/internal/quarantine/fingerprint_test.go
+++ b/jackdawd/internal/quarantine/fingerprint_test.go
@@ -7,6 +7,13 @@
 	"github.com/stretchr/testify/require"
 )
 
+func BenchmarkFingerprint(b *testing.B) {
+	c := Content{Workspace: "mailroom", Method: http.MethodPost, Host: "a.example", Target: "/digest/1", Body: make([]byte, 12_000)}
+	for b.Loop() {
+		c.Fingerprint()
+	}
+}
+
 func TestFingerprintIsOfTheContent(t *testing.T) {
 	same := Content{Workspace: "mailroom", Method: http.MethodPost, Host: "a.example", Target: "/digest/1", Body: []byte("letter")}
 	tests := map[string]struct {
--- a/jackdawd/internal/quarantine/notice.go
+++ b/jackdawd/internal/quarantine/notice.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strconv"
 	"time"
 )
 
@@ -42,9 +41,9 @@
 
 // DecodeNotice returns the record of a notice that was written under a request's fingerprint.
 func DecodeNotice(now time.Time, request string, data []byte) (Record, error) {
-	f, err := strconv.ParseUint(request, 16, 64)
+	f, err := ParseFingerprint(request)
 	if err != nil {
-		return Record{}, &NoticeError{Request: request, Field: "fingerprint", Problem: "is not a number in hexadecimal"}
+		return Record{}, err
 	}
 	var n Notice
 	if err := json.Unmarshal(data, &n); err != nil {
@@ -53,7 +52,7 @@
 	if len(n.Crashes) != mostCrashes {
 		return Record{}, &NoticeError{Request: request, Field: "crashes", Problem: fmt.Sprintf("are %d and not %d", len(n.Crashes), mostCrashes)}
 	}
-	r := Record{Request: Fingerprint(f)}
+	r := Record{Request: f}
 	for _, k := range n.Crashes {
 		r.Crashes = append(r.Crashes, CrashRecord{Start: k.Start, Age: now.Sub(k.At), Ran: k.At.Sub(k.From)})
 	}
