--- a/jackdawd/internal/relay/leaving_test.go
+++ b/jackdawd/internal/relay/leaving_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/platform/standin"
 )
 
 // leavesWithin is how long after it has said so an upstream may still be sent work.
@@ -43,3 +46,72 @@
 		})
 	}
 }
+
+// wantsNothing turns requests away and says for how long the upstream wants none.
+func wantsNothing(seconds string) func(u *standin.Runner) standin.Behavior {
+	return func(u *standin.Runner) standin.Behavior {
+		return func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+			u.Note(r, body)
+			w.Header().Set("Retry-After", seconds)
+			standin.Shed(w)
+			return true
+		}
+	}
+}
+
+// mostDuringPause is how many requests an upstream may get from one host once it has said that it wants none, and
+// pauseFrom from when on that counts.
+const (
+	mostDuringPause = 2
+	pauseFrom       = 500 * time.Millisecond
+)
+
+// An upstream turned a request away and said that it wants nothing for twenty seconds. To the host that was one failure
+// like others: it went on sending requests there, which were all turned away and had to go elsewhere, late
+// and at the cost of a retry each.
+func TestUpstreamIsLeftAloneForAsLongAsItAsks(t *testing.T) {
+	run(t, []string{"mailbox-1", "mailbox-2"}, func(t *testing.T, f *fixture) {
+		busy := f.runners["mailbox-1"]
+		busy.SetBehavior(wantsNothing("20")(busy))
+		for n := range 190 {
+			f.do(f.request(http.MethodGet, fmt.Sprintf("/scan/%d", n), fmt.Sprintf("r%d", n), ""))
+			time.Sleep(100 * time.Millisecond)
+		}
+		turnedAway := busy.Runs()
+		require.NotEmpty(t, turnedAway)
+		late := 0
+		for _, r := range turnedAway {
+			if r.At.Sub(turnedAway[0].At) > pauseFrom {
+				late++
+			}
+		}
+		require.LessOrEqual(t, late, mostDuringPause)
+		busy.SetBehavior(nil)
+		time.Sleep(12 * time.Second)
+		for n := range 20 {
+			require.Equal(t, http.StatusOK, f.do(f.request(http.MethodGet, fmt.Sprintf("/scan/%d", n), fmt.Sprintf("s%d", n), "")).status)
+		}
+		require.Greater(t, len(busy.Runs()), len(turnedAway), "it is back in use")
+	})
+}
+
+// All upstreams of a pool want nothing for some seconds. Callers hear so at once and when to come back, and
+// no request is tried.
+func TestPoolThatWantsNothingIsSaidAtOnce(t *testing.T) {
+	run(t, []string{"mailbox-1", "mailbox-2"}, func(t *testing.T, f *fixture) {
+		f.all(wantsNothing("4.5"))
+		for n := range 4 {
+			f.do(f.request(http.MethodGet, fmt.Sprintf("/scan/%d", n), fmt.Sprintf("r%d", n), ""))
+		}
+		time.Sleep(pauseFrom)
+		begin := time.Now()
+		got := f.do(f.request(http.MethodPost, "/notice/x", "late", "body"))
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.Zero(t, time.Since(begin))
+		require.Zero(t, f.runs("late"))
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, seconds, 3.9)
+		require.Less(t, seconds, 6.8)
+	})
+}
