--- a/common/traffic/request.go
+++ b/common/traffic/request.go
@@ -83,6 +83,9 @@
 	Load *Load
 	// Leaving is the upstream's word that it leaves, which its entry may not say yet.
 	Leaving bool
+	// WantsNoneFor is for how long the upstream, which turned the request away, wants no others from
+	// this host; 0 if it does not say.
+	WantsNoneFor time.Duration
 	// IdleTimeout is when the upstream closes the connection if nothing is sent on it; 0 if it does not say.
 	IdleTimeout time.Duration
 }
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -74,6 +74,7 @@
 	Budgets       *Budgets
 	Admission     *admission.Controller
 	Quarantine    Quarantine
+	Pauses        *Pauses
 	Journal       Journal
 	FailureDomain string
 	// Near reports whether a failure domain lies in this host's region.
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -2,19 +2,24 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/placement"
+	"jackdawhinge/jackdawd/internal/work"
 )
 
+// pausedReason is the reason for which a request was not tried whose upstreams want none for now.
+const pausedReason = "upstreams-pause"
+
 // place chooses an upstream that was not tried yet, or nil if there is none or the request
 // would begin too late there.
 func (j *job) place() *traffic.Upstream {
 	// A request may have been tried for seconds; upstreams have left meanwhile.
 	j.snapshot = j.Members.Snapshot()
-	fit, avoided := j.candidates()
+	fit, avoided, pause := j.candidates()
 	spokenAgainst := len(avoided)
 	if len(fit) == 0 {
 		fit = avoided
@@ -25,6 +30,10 @@
 	upstream := placement.Choose(choice)
 	if upstream == nil {
 		step.Decision, step.Reason = Stopped, "no-upstream"
+		if pause > 0 {
+			step.Reason = pausedReason
+			j.full = work.Refuse(http.StatusServiceUnavailable, work.Overloaded, "the upstreams want no requests for now").Retry(pause)
+		}
 		j.note(step)
 		return nil
 	}
@@ -59,12 +68,19 @@
 // candidates returns the upstreams that may be tried, and those of them that
 // evidence speaks against. Another region's are among them only if this one has none:
 // a request there and back takes longer than most targets allow, and the regions
-// lose each other at times.
-func (j *job) candidates() (fit, avoided []*traffic.Upstream) {
+// lose each other at times. Upstreams that want no requests are not among them; pause is
+// when the first of these wants some again.
+func (j *job) candidates() (fit, avoided []*traffic.Upstream, pause time.Duration) {
 	var far []*traffic.Upstream
+	paused := j.Pauses.Left(time.Now())
 	for _, u := range j.snapshot.Upstreams(j.pool.Name) {
+		left := paused[u.Start()]
 		switch {
 		case slices.Contains(j.tried, u.Start()) || !u.Serves(j.request.Model):
+		case left > 0:
+			if pause == 0 || left < pause {
+				pause = left
+			}
 		case j.snapshot.Avoided(u.ID):
 			avoided = append(avoided, u)
 		case !j.Near(u.FailureDomain):
@@ -76,7 +92,7 @@
 	if len(fit) == 0 {
 		fit = far
 	}
-	return fit, avoided
+	return fit, avoided, pause
 }
 
 // source returns the engine that the one given may fetch the prompt from, or nil.
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -88,6 +88,9 @@
 	if head.Leaving && !replacedBy {
 		j.Members.Leaves(u.Start())
 	}
+	if head.WantsNoneFor > 0 && !replacedBy {
+		j.Pauses.Ask(time.Now(), u.Start(), head.WantsNoneFor)
+	}
 	switch {
 	case replacedBy:
 		j.sent--
@@ -99,7 +102,9 @@
 			// sent there only to be turned away as well.
 			j.Loads.Told(time.Now(), u, traffic.Load{Running: u.Slots, Waiting: u.Slots, Slots: u.Slots})
 		}
-		j.observe(ctx, u, control.Broken)
+		if head.WantsNoneFor == 0 {
+			j.observe(ctx, u, control.Broken)
+		}
 		return result{verdict: rejected}
 	}
 	j.mayHaveRun = true
