--- a/jackdawd/internal/relay/pauses_test.go
+++ b/jackdawd/internal/relay/pauses_test.go
@@ -18,7 +18,7 @@
 	require.Zero(t, p.Left(now)[traffic.Start{ID: "a", Incarnation: 2}], "it has started again")
 	p.Ask(now, busy, time.Second)
 	require.GreaterOrEqual(t, p.Left(now)[busy], 4*time.Second, "an answer that was held up takes nothing back")
-	require.Zero(t, p.Left(now.Add(5*time.Second))[busy])
+	require.Zero(t, p.Left(now.Add(5 * time.Second))[busy])
 	p.Ask(now.Add(5*time.Second), traffic.Start{ID: "b"}, time.Second)
 	require.Len(t, p.until, 1, "what has ended is forgotten")
 }
