--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -129,7 +129,7 @@
 	h.client = exchange.NewClient(o.Protocol, nil)
 	h.budgets = relay.NewBudgets(o.Bounds.RetryRatio)
 	h.handler = relay.NewHandler(relay.Options{
-		Protocol: o.Protocol, Members: h.keeper, Client: h.client, Loads: h.loads, Balancer: h.balancer, Warmth: placement.NewWarmth(),
+		Protocol: o.Protocol, Members: h.keeper, Client: h.client, Loads: h.loads, Balancer: h.balancer, Warmth: placement.NewWarmth(), Turnovers: placement.NewTurnovers(),
 		Budgets: h.budgets, Admission: admission.NewController(), Quarantine: h.quarantine, Pauses: relay.NewPauses(), Journal: stories.NewWriter(o.Usual, o.Unusual, o.Meter),
 		FailureDomain: o.FailureDomain, Near: o.Near, MostBodies: o.MostBodies, LoadMultiple: h.loadMultiple, Hosts: h.hosts,
 	})
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	// boundSlack is how many requests above that are always allowed: with few
 	// requests on each engine a multiple of the mean is less than one more.
 	boundSlack = 2.5
+	// outpacedReplicas is how many more engines a prompt has in a large fleet while what hosts tell each other is
+	// outpaced: with four, the loads of engines that a few hundred prompts make differ by half as much.
+	outpacedReplicas = 3
 	// farCost is what an upstream in another failure domain costs a request to a
 	// plain service, in requests waiting there.
 	farCost = 1.5
@@ -54,6 +58,8 @@
 	Spread *Spread
 	// Pool is the pool of the upstreams.
 	Pool string
+	// Outpaced is set if requests come or end faster than hosts can tell each other of them.
+	Outpaced bool
 }
 
 // Choose returns the upstream for a request, or nil if there is none.
@@ -93,7 +99,7 @@
 // next, -1 for none: of as many engines as the prompt has, the first in its order that take
 // it and are not far above the mean, one by the request's own hash.
 func (c Choice) firstTwo() (first, second int) {
-	replicas := c.Spread.replicas(c.Key, c.Pool)
+	replicas := c.replicas()
 	order := c.order(max(replicas, 2), replicas > 1)
 	switch len(order) {
 	case 0:
@@ -140,6 +146,24 @@
 	}
 }
 
+// replicas returns at how many engines the prompt's requests are served. What is told of loads is no guide while it is
+// outpaced; all prompts are then spread over more engines, which evens loads out without it.
+func (c Choice) replicas() int {
+	replicas := c.Spread.replicas(c.Key, c.Pool)
+	if !c.Outpaced {
+		return replicas
+	}
+	return max(replicas, 1+int(math.Round(outpacedReplicas*c.distance())))
+}
+
+// distance says how little the host sees of all requests by itself: 0 in a small fleet, up to 1.
+func (c Choice) distance() float64 {
+	if c.Hosts == 0 {
+		return 1
+	}
+	return 1 - min(1, float64(fewHosts)/float64(c.Hosts))
+}
+
 // stuck reports whether requests of this host wait at an upstream. It is the first sign of
 // a crowd there: what the upstream tells comes with answers, of which there are none then.
 func (c Choice) stuck(i int) bool { return c.Stuck != nil && c.Stuck(c.Upstreams[i]) }
@@ -173,16 +197,17 @@
 
 // Bound returns how many requests an upstream may have for one with a prompt to be placed there.
 func (c Choice) Bound() float64 {
-	return c.Multiple*c.share()*c.Mean() + boundSlack
+	bound := c.Multiple*c.share()*c.Mean() + boundSlack
+	if c.Outpaced {
+		bound *= 1 + c.distance()
+	}
+	return bound
 }
 
 // share returns the part of the load multiple that the host places up to: the less of the
 // load others place, the more.
 func (c Choice) share() float64 {
-	if c.Hosts == 0 {
-		return boundShare
-	}
-	return boundShare + (fewShare-boundShare)*min(1, float64(fewHosts)/float64(c.Hosts))
+	return boundShare + (fewShare-boundShare)*(1-c.distance())
 }
 
 // Mean returns the mean load of the upstreams, by what the host knows or by the plan, where
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -71,6 +71,7 @@
 	Loads         *placement.Loads
 	Balancer      *placement.Balancer
 	Warmth        *placement.Warmth
+	Turnovers     *placement.Turnovers
 	Budgets       *Budgets
 	Admission     *admission.Controller
 	Quarantine    Quarantine
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -61,7 +61,7 @@
 		Upstreams: upstreams, Loads: j.Loads.All(time.Now(), upstreams), Key: j.key, Cached: j.cached,
 		Delay: j.delayAt, Stuck: j.stuckAt, Patience: j.patience(),
 		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple(), Hosts: j.Hosts(), Tie: rand.Uint64(),
-		Spread: j.Balancer.Spread(time.Now()), Pool: j.pool.Name,
+		Spread: j.Balancer.Spread(time.Now()), Pool: j.pool.Name, Outpaced: j.Turnovers.Outpaced(time.Now(), j.pool.Name),
 	}
 }
 
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -58,6 +58,7 @@
 	now := time.Now()
 	j.triedAt = now
 	j.Loads.Begin(now, u)
+	j.Turnovers.Began(now, j.pool.Name)
 	if j.cached {
 		j.Balancer.Begin(j.key)
 	}
@@ -66,6 +67,9 @@
 	defer func() {
 		now := time.Now()
 		j.Loads.End(now, u)
+		if whole {
+			j.Turnovers.Ended(now, j.pool.Name, now.Sub(j.triedAt))
+		}
 		if j.cached {
 			j.Balancer.End(j.key)
 		}
