--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -128,6 +128,9 @@
 	position    membership.Position
 	version     int64
 	parentHeard time.Duration
+	// scoutedAt is when this host tried the store last for others, scouted what it read then.
+	scoutedAt time.Time
+	scouted   *traffic.Configuration
 
 	// telling guards what follows up to countedBy: toldTo, told and toldAt are which host was told of requests in progress, what and when.
 	telling sync.Mutex
