--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -62,8 +62,6 @@
 	mostParents = 3
 	// lostPause is the least time between two questions to a host that has lost the store.
 	lostPause = 300 * time.Millisecond
-	// scoutEvery is how often at most a host that follows others tries whether the store serves it.
-	scoutEvery = 10 * time.Second
 	// lostMargin is how long before its list of upstreams is too old a host that waits for one above
 	// begins to ask other failure domains' first hosts for the store: all of them, then one each
 	// lostPause. It reads the store itself once one of them has it. With half of that hosts
@@ -122,12 +120,12 @@
 			c.gatherBelow(ctx, c.refreshedAt)
 		}
 		begun, waited := time.Now(), c.options.Uptime()-entered
-		oldest, wait := c.oldestList()+time.Millisecond, followWait
+		oldest := c.oldestList() + time.Millisecond
 		if away.told {
 			// It need not say that it is still away: it answers when it is back.
-			oldest, wait = neverListed, c.lostWait()
+			oldest = neverListed
 		}
-		if next, behind, err = c.follow(ctx, parent, oldest, wait); err == nil {
+		if next, behind, err = c.follow(ctx, parent, oldest); err == nil {
 			// It counts from the beginning, and the time until this call went by since.
 			return next, behind - waited, false, nil
 		}
@@ -139,8 +137,6 @@
 				c.suspect(ctx, parent, err)
 			}
 			pause.For(ctx, startPause)
-		case c.readsStore(), c.scouts(ctx, err):
-			return nil, 0, true, err
 		case c.waitsFor(ctx, err, &away):
 			pause.For(ctx, lostPause-time.Since(begun))
 		default:
@@ -158,32 +154,6 @@
 	return nil, 0, left > 0, err
 }
 
-// readsStore reports whether this host reads the store itself, and is answered.
-func (c configurations) readsStore() bool {
-	return c.following.Load() == nil && c.ListAge() <= c.oldestList()
-}
-
-// scouts reports whether the store serves this host, as one of the few that try when the host above has lost it.
-// The store may reject all first hosts of failure domains and serve others: those would wait for each other until
-// their lists are too old.
-func (c configurations) scouts(ctx context.Context, err error) bool {
-	var stale *StaleError
-	if !errors.As(err, &stale) || !c.directory.Scouts() || c.ListAge() < c.oldestList() {
-		return false
-	}
-	if !c.scoutedAt.IsZero() && time.Since(c.scoutedAt) < scoutEvery {
-		return false
-	}
-	c.scoutedAt = time.Now()
-	next, failed := c.options.Configurations.Next(ctx, 0)
-	if failed != nil {
-		// It is away for this host too, as it is for the one above.
-		return false
-	}
-	c.scouted = next
-	return true
-}
-
 // absence is a time for which the host above has lost the store.
 type absence struct {
 	// told is set once a line has told of it, asked counts how often other hosts were asked for the store.
@@ -284,11 +254,6 @@
 // than the bounds allow, so the store is next, at once.
 func (c configurations) readStore(ctx context.Context, wait time.Duration, left bool) (*traffic.Configuration, time.Duration, error) {
 	c.setFollowing(nil)
-	if c.scouted != nil {
-		next := c.scouted
-		c.scouted, c.version = nil, max(c.version, next.Version())
-		return next, 0, nil
-	}
 	if left {
 		wait = 0
 	}
@@ -318,27 +283,13 @@
 	return crowded && s.ListAge() >= neverListed && time.Now().Before(s.patientUntil)
 }
 
-// lostWait returns how long a call to a host above that has lost the store may be held: no longer than until
-// other hosts are to be asked, and then until the next of them is.
-func (s *Source) lostWait() time.Duration {
-	switch age, most := s.ListAge(), s.mostLost(); {
-	case age < most:
-		return min(followWait, most-age)
-	case age < 2*most:
-		return lostPause
-	default:
-		return followWait
-	}
-}
-
-// follow makes one call to the host above, which is held for a while at most, and answers at once if its list is
-// older than given.
-func (c configurations) follow(ctx context.Context, parent Peer, oldest, wait time.Duration) (*traffic.Configuration, time.Duration, error) {
+// follow makes one call to the host above, which answers at once if its list is older than given.
+func (c configurations) follow(ctx context.Context, parent Peer, oldest time.Duration) (*traffic.Configuration, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
 	defer cancel()
 	sent := c.options.Uptime()
 	args := FollowArgs{
-		Version: c.version, Position: c.position, Whole: c.whole, Heard: c.parentHeard, Wait: wait, Oldest: oldest,
+		Version: c.version, Position: c.position, Whole: c.whole, Heard: c.parentHeard, Wait: followWait, Oldest: oldest,
 	}
 	if c.asked != parent.Name {
 		// Positions and moments are those of one host, and the first answer should come
--- a/jackdawd/internal/fleet/quarantine.go
+++ b/jackdawd/internal/fleet/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jackdawhinge/common/pause"
+	"jackdawhinge/common/peers"
 	"jackdawhinge/jackdawd/internal/quarantine"
 )
 
@@ -137,7 +138,7 @@
 	defer cancel()
 	cases, until := s.options.Quarantine.Since(time.Now(), since, leastToldUp)
 	var reply ReportReply
-	if err := s.client(parent).Call(ctx, parent.Address, reportCall, &ReportArgs{Cases: cases}, &reply); err != nil {
+	if err := s.casesClient(parent).Call(ctx, parent.Address, reportCall, &ReportArgs{Cases: cases}, &reply); err != nil {
 		// The calls that follow the host above show whether it is gone.
 		logrus.WithError(err).WithField("peer", parent.Name).Debug("fleet: The host above was not told of crashes. It is told again.")
 		return since
@@ -175,10 +176,33 @@
 	defer cancel()
 	defer s.cancelWhenReplaced(ctx, cancel, parent)()
 	var reply CasesReply
-	err := s.client(parent).Call(ctx, parent.Address, casesCall, &CasesArgs{Known: known, Wait: casesWait}, &reply)
+	err := s.casesClient(parent).Call(ctx, parent.Address, casesCall, &CasesArgs{Known: known, Wait: casesWait}, &reply)
 	return reply, err
 }
 
+// casesClient returns the client for calls about requests that end upstreams. It has a connection of its own: a call that
+// is given up ends its connection, and with it calls for the configuration, whose failure makes a host leave the one above.
+func (s *Source) casesClient(p Peer) *peers.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cases != nil && s.casesOf == p {
+		return s.cases
+	}
+	s.closeCases()
+	s.casesOf, s.cases = p, s.newClient(p.Secret)
+	return s.cases
+}
+
+// closeCases closes the client for those calls; the lock must be held.
+func (s *Source) closeCases() {
+	if s.cases == nil {
+		return
+	}
+	s.cases.Close()
+	s.bytes += s.cases.Bytes()
+	s.cases = nil
+}
+
 // cancelWhenReplaced cancels a call once another host is above, until the function returned is called.
 func (s *Source) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, parent Peer) (stop func()) {
 	ended := make(chan struct{})
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -106,6 +106,9 @@
 	mu        sync.Mutex
 	server    *peers.Server
 	clients   map[Peer]*peers.Client
+	// cases is the client for calls about requests that end upstreams, to the host casesOf.
+	cases   *peers.Client
+	casesOf Peer
 	// bytes counts those of clients that were dropped.
 	bytes int64
 
@@ -128,9 +131,6 @@
 	position    membership.Position
 	version     int64
 	parentHeard time.Duration
-	// scoutedAt is when this host tried the store last for others, scouted what it read then.
-	scoutedAt time.Time
-	scouted   *traffic.Configuration
 
 	// telling guards what follows up to countedBy: toldTo, told and toldAt are which host was told of requests in progress, what and when.
 	telling sync.Mutex
@@ -290,6 +290,7 @@
 	for _, c := range s.clients {
 		c.Close()
 	}
+	s.closeCases()
 	s.mu.Unlock()
 	s.done.Wait()
 	return err
@@ -335,6 +336,9 @@
 	for _, c := range s.clients {
 		n += c.Bytes()
 	}
+	if s.cases != nil {
+		n += s.cases.Bytes()
+	}
 	if s.server != nil {
 		n += s.server.Bytes()
 	}
--- a/jackdawd/internal/fleet/tree.go
+++ b/jackdawd/internal/fleet/tree.go
@@ -77,26 +77,7 @@
 	d.turnedAway = now.Add(longestStale)
 }
 
-// scoutsOfDomain is how many hosts of a failure domain are scouts: the last ones in its order, as a store that
-// rejects some hosts may reject all at the top of the tree.
-const scoutsOfDomain = 2
-
-// scouts returns the hosts of this one's failure domain that try the store when the hosts above have
-// lost it; the lock must be held.
-func (d *Directory) scouts() []Peer {
-	// Hosts differ in whom they suspect, and must not differ in who are the scouts.
-	domain := d.ordered[d.self.FailureDomain]
-	return domain[max(len(domain)-scoutsOfDomain, 0):]
-}
-
-// Scouts reports whether this host is one of its failure domain's scouts.
-func (d *Directory) Scouts() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.small() && d.contains(d.scouts(), d.self)
-}
-
-// Elsewhere returns the first hosts of the other failure domains and this one's scouts, in another order for each host
+// Elsewhere returns the first hosts of the other failure domains, in another order for each host
 // that asks. There are none for one that need not wait for the host above: a reader, the first of its
 // domain, and all hosts of a small fleet.
 func (d *Directory) Elsewhere(now time.Time) []Peer {
@@ -116,7 +97,6 @@
 	if d.contains(d.readers(now), d.self) || d.small() {
 		return nil
 	}
-	others = append(others, slices.DeleteFunc(slices.Clone(d.scouts()), func(p Peer) bool { return p.Name == d.self.Name })...)
 	return d.shuffled(others)
 }
 
