--- a/jackdawd/internal/fleet/quarantine_test.go
+++ b/jackdawd/internal/fleet/quarantine_test.go
@@ -259,3 +259,29 @@
 		require.Nil(t, notices[crashing.String()], "nobody writes it again")
 	})
 }
+
+// BenchmarkCases measures the bytes of the calls about requests that end upstreams: one for news when there is
+// none, and one that tells of those that were at an upstream that ended.
+func BenchmarkCases(b *testing.B) {
+	for _, n := range []int{0, 10, 100} {
+		b.Run(fmt.Sprintf("told=%d", n), func(b *testing.B) {
+			p := newPairOf(b, 1)
+			above := p.reader.directory.Self()
+			for i := range n {
+				p.follower.options.Quarantine.Merge(time.Now(), []quarantine.Record{{Request: quarantine.Fingerprint(i) << 50, Crashes: []quarantine.CrashRecord{{Start: 1 << 30, Age: time.Second, Ran: time.Second}}}})
+			}
+			before := p.follower.Bytes()
+			for b.Loop() {
+				if n > 0 {
+					p.follower.report(b.Context(), above, quarantine.Position{})
+					continue
+				}
+				var reply CasesReply
+				if err := p.follower.casesClient(above).Call(b.Context(), above.Address, casesCall, &CasesArgs{}, &reply); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(p.follower.Bytes()-before)/float64(b.N), "bytes/call")
+		})
+	}
+}
--- a/jackdawd/internal/quarantine/registry.go
+++ b/jackdawd/internal/quarantine/registry.go
@@ -19,8 +19,8 @@
 	forgottenShare = 8
 	// expireEvery is how often cases of long ago are looked for.
 	expireEvery = time.Second
-	// mostTold bounds the cases of one crash that are told at once, in two thousand bytes. When many upstreams
-	// end with all their requests, the rest follows in the next messages.
+	// mostTold bounds the cases of one crash that are told at once, so that a message takes a few kilobytes. When
+	// many upstreams end with all their requests, the rest follows in the next messages.
 	mostTold = 100
 )
 
