--- a/jackdawd/internal/fleet/doc.go
+++ b/jackdawd/internal/fleet/doc.go
@@ -9,5 +9,6 @@
 // is left for the store, and then for another one.
 //
 // Along the same tree hosts exchange what upstreams told of their loads, and what speaks
-// against upstreams.
+// against upstreams. Which requests crash upstreams is told at once in calls of its own, and
+// kept on a board in the store.
 package fleet
--- a/jackdawd/internal/fleet/quarantine_test.go
+++ b/jackdawd/internal/fleet/quarantine_test.go
@@ -285,3 +285,20 @@
 		})
 	}
 }
+
+// A call about crashes is given up after a moment, and its connection with it. Were it the one on which the host above is
+// asked for the configuration, that call would fail too, and the host be left for it.
+func TestCallsAboutCrashesHaveAConnectionOfTheirOwn(t *testing.T) {
+	p := newPair(t)
+	above := p.reader.directory.Self()
+	require.NotSame(t, p.follower.client(above), p.follower.casesClient(above))
+	require.Same(t, p.follower.casesClient(above), p.follower.casesClient(above))
+	p.follower.options.Quarantine.Merge(time.Now(), []quarantine.Record{{Request: crashing, Crashes: []quarantine.CrashRecord{{Start: 1}}}})
+	_, _, err := p.next(t)
+	require.NoError(t, err)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Equal(t, quarantine.Position{}, p.follower.report(ended, above, quarantine.Position{}), "it is told again")
+	_, _, err = p.next(t)
+	require.NoError(t, err)
+}
--- a/jackdawd/internal/quarantine/registry_test.go
+++ b/jackdawd/internal/quarantine/registry_test.go
@@ -83,6 +83,17 @@
 	require.True(t, barred(r, at(24), suspicious), "an upstream's new software may crash under it")
 }
 
+// One host tells that a request was answered, another one later of crashes before that.
+func TestCrashesBeforeAnAnswerDoNotCount(t *testing.T) {
+	r := NewRegistry()
+	r.Crashed(at(1), suspicious, 1, briefly)
+	r.Answered(at(5), suspicious)
+	for n := range 3 {
+		r.Merge(at(6), []Record{{Request: suspicious, Crashes: []CrashRecord{{Start: uint32(10 + n), Age: time.Duration(4-n) * time.Second, Ran: briefly}}}})
+	}
+	require.False(t, barred(r, at(6), suspicious))
+}
+
 func TestBarEnds(t *testing.T) {
 	r := NewRegistry()
 	for n := range 3 {
--- a/jackdawd/internal/relay/leaving_test.go
+++ b/jackdawd/internal/relay/leaving_test.go
@@ -95,6 +95,21 @@
 	})
 }
 
+// An upstream that asks for short pauses again and again does what it should. It is not avoided for that, and
+// gets work as soon as it wants some.
+func TestAskingForPausesIsNoFailure(t *testing.T) {
+	run(t, []string{"mailbox-1", "mailbox-2"}, func(t *testing.T, f *fixture) {
+		busy := f.runners["mailbox-1"]
+		busy.SetBehavior(wantsNothing("0.1")(busy))
+		for n := range 300 {
+			f.do(f.request(http.MethodGet, fmt.Sprintf("/scan/%d", n), fmt.Sprintf("r%d", n), ""))
+			time.Sleep(50 * time.Millisecond)
+			require.False(t, f.handler.Members.Snapshot().Avoided("mailbox-1"))
+		}
+		require.Greater(t, len(busy.Runs()), 5)
+	})
+}
+
 // All upstreams of a pool want nothing for some seconds. Callers hear so at once and when to come back, and
 // no request is tried.
 func TestPoolThatWantsNothingIsSaidAtOnce(t *testing.T) {
@@ -115,3 +130,29 @@
 		require.Less(t, seconds, 6.8)
 	})
 }
+
+// Another upstream has the address of the one that is meant, and it leaves. Its word says nothing of the one that was
+// meant, which comes back there and gets work again.
+func TestStrangersWordIsItsOwn(t *testing.T) {
+	run(t, []string{"mailbox-1", "mailbox-2"}, func(t *testing.T, f *fixture) {
+		address := f.feed.upstreams[0].Address
+		stranger := standin.NewRunner("stranger", 8)
+		stranger.SetLeaving(true)
+		f.net.Kill(address)
+		f.net.Serve(address, stranger)
+		for n := range 10 {
+			f.do(f.request(http.MethodPost, "/notice/x", fmt.Sprintf("r%d", n), "body"))
+		}
+		require.Empty(t, f.runners["mailbox-1"].Runs())
+		f.net.Kill(address)
+		f.net.Serve(address, f.runners["mailbox-1"])
+		f.feed.mu.Lock()
+		f.feed.upstreams[0].Sequence++
+		f.feed.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for n := range 10 {
+			f.do(f.request(http.MethodPost, "/notice/x", fmt.Sprintf("s%d", n), "body"))
+		}
+		require.NotEmpty(t, f.runners["mailbox-1"].Runs())
+	})
+}
