--- a/jackdawd/internal/placement/turnover.go
+++ b/jackdawd/internal/placement/turnover.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// burstWindow is the time in which a jump of requests must show, and burstLeast how many must come in it: a host
-	// of a large fleet gets one of three usual requests a second in it, and five by chance once in an hour.
+	// burstWindow is the time in which a jump of requests must show, and burstLeast how many must come in it: fewer
+	// come together by chance at a host that gets a few requests a second.
 	burstWindow = 300 * time.Millisecond
 	burstLeast  = 4
 	// burstTimes is how many times as often as usual requests come in a jump.
--- a/jackdawd/internal/relay/leaving_test.go
+++ b/jackdawd/internal/relay/leaving_test.go
@@ -19,7 +19,6 @@
 // accepted twelve seconds later only, and until then its entry said that it was ready. Hosts knew
 // nothing but the entry and sent it new requests all the while, 12.2 s after its answer had gone through them ("relay:
 // Placed. avoided=0 candidates=18", and only later "membership: An upstream's entry changed. state=leaving").
-// Callers whose streams it could not end any more saw them break off.
 func TestUpstreamThatSaysThatItLeavesGetsNoWork(t *testing.T) {
 	tests := map[string]struct {
 		runners []string
