--- /dev/null
+++ b/jackdawd/internal/fleet/limits.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"time"
+)
+
+const (
+	// followWait is how long a follower's call waits for something new. A sound reader
+	// has read the upstreams again within 0.75 s, which is new, so that most calls end
+	// with it: 1.3 a second instead of the 2.7 of a wait of 0.5 s, and one that is silent is
+	// found out 0.2 s sooner, as a call has begun when the reader last read.
+	followWait = 800 * time.Millisecond
+	// followTimeout is how long beyond that an answer may take. A host that is frozen
+	// or cut off is left after that, long before any bound is reached.
+	followTimeout = 300 * time.Millisecond
+	// readerPace is the part of the usual pace at which a reader reads the upstreams, so
+	// that a follower that has to leave it still learns of a change in time.
+	readerPace = 0.5
+	// readerWait bounds how long a reader's read of the configuration waits, for the same reason.
+	readerWait = time.Second
+	// staleSlack is how much older than two of a reader's reads, of readerWait each, and the
+	// time between two of its answers a configuration may be, for what reads may take while
+	// the store is slow. The sooner a host that has lost the store is left, the more time is
+	// left to read it here: of 4.8 s 3.4 s are gone then at most, and 1.1 s more if the
+	// host is silent. Left sooner, sound hosts were left by all at once, each nine seconds,
+	// where they read the upstreams at the longer pace of larger fleets.
+	staleSlack = 300 * time.Millisecond
+	// listSlack is how much older than the time between two of its reads a reader's list
+	// of upstreams may be. An upstream may say that it leaves just after the last read; this,
+	// followTimeout and a read of the store come on top until a follower knows, 1.5 s
+	// altogether where 2 s are allowed.
+	listSlack = 400 * time.Millisecond
+	// usualPace holds until the upstreams are asked for.
+	usualPace = 1500 * time.Millisecond
+	// neverListed stands for the age of what was never read.
+	neverListed = time.Hour
+	// largeFleet is from how many hosts on one that has just started does not read the
+	// upstreams from the store but waits for others to tell it. After a failure of power
+	// all start at once; 300 hosts that take 1 MB of 3,000 upstreams each get no answer
+	// in time for half a minute. A hundred hosts' reads take the store half a second at
+	// most, and callers wait for each tenth of it.
+	largeFleet = 100
+	// smallFleet is below how many hosts each looks for the store itself when the host above has
+	// lost it: 32 hosts then make 80 calls a second, of several hundred that the store takes.
+	smallFleet = 32
+	// startPatience is how long such a host goes on asking others that know nothing
+	// either, and startSpread how much longer at random.
+	startPatience = 1500 * time.Millisecond
+	startSpread   = 1500 * time.Millisecond
+	// startPause is the time between two questions of such a host.
+	startPause = 50 * time.Millisecond
+	// mostParents is how many hosts are asked one after the other before the store is.
+	mostParents = 3
+	// lostPause is the least time between two questions to a host that has lost the store.
+	lostPause = 300 * time.Millisecond
+	// lostMargin is how long before its list of upstreams is too old a host that waits for one above
+	// begins to ask other failure domains' first hosts for the store: all of them, then one each
+	// lostPause. It reads the store itself once one of them has it. With half of that hosts
+	// heard 20 ms too late of upstreams that left.
+	lostMargin = 4 * lostPause
+	// leastLost is for how long a host waits in any case for the one above to find the store.
+	leastLost = 100 * time.Millisecond
+	// drainShare is the part of the time for which a leaving upstream may be sent work after
+	// which a reader's keeper asks for the upstreams again.
+	drainShare = 0.75
+)
+
+// mostLost returns how old the list of upstreams may become before a host asks elsewhere: a
+// question there and a read of the store fit into the time for which an upstream that leaves
+// may be sent work.
+func (s *Source) mostLost() time.Duration {
+	return max(time.Duration(float64(s.pace.Load())/drainShare)-lostMargin, s.oldestList()+leastLost)
+}
+
+// oldestList returns how old the list of upstreams of a host that is followed may be.
+func (s *Source) oldestList() time.Duration {
+	return s.readerInterval() + listSlack
+}
+
+// readerInterval returns how often readers read the list of upstreams.
+func (s *Source) readerInterval() time.Duration {
+	return time.Duration(readerPace * float64(s.pace.Load()))
+}
+
+// oldestConfiguration returns how old the configuration of a host that is followed may be.
+func (s *Source) oldestConfiguration() time.Duration {
+	return 2*readerWait + s.readerInterval() + staleSlack
+}
