--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -118,7 +118,7 @@
 
 func bounds(b platform.Bounds) entry.Bounds {
 	return entry.Bounds{
-		Bounds:     membership.Bounds{Revoke: b.Revoke, Drain: b.Drain, Lapse: b.Lapse},
+		Bounds:     membership.Bounds{Revoke: b.Revoke, InForce: b.InForce, Drain: b.Drain, Lapse: b.Lapse},
 		Grace:      b.Grace,
 		RetryRatio: b.RetryRatio, LoadMultiple: b.LoadMultiple,
 	}
@@ -150,7 +150,7 @@
 		store.SetAddress(s.Store)
 		host.SetBounds(bounds(s.Bounds))
 		inForce = s
-		logrus.WithFields(logrus.Fields{"store": s.Store, "revoke": s.Bounds.Revoke.String(), "drain": s.Bounds.Drain.String()}).Info("settings: The changed file is in force.")
+		logrus.WithFields(logrus.Fields{"store": s.Store, "revoke": s.Bounds.Revoke.String(), "drain": s.Bounds.Drain.String(), "in-force": s.Bounds.InForce.String()}).Info("settings: The changed file is in force.")
 	}
 }
 
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -18,6 +18,7 @@
 	m.Gauge("configuration_age_milliseconds", func() int64 { return min(h.keeper.Age(), time.Hour).Milliseconds() })
 	m.Gauge("upstream_list_age_milliseconds", func() int64 { return min(h.source.ListAge(), time.Hour).Milliseconds() })
 	m.Gauge("out_of_touch_milliseconds", func() int64 { return h.keeper.OutOfTouch().Milliseconds() })
+	m.Gauge("configuration_late_milliseconds", func() int64 { return h.keeper.Late().Milliseconds() })
 	m.Gauge("requests_suspected", func() int64 {
 		remembered, _ := h.quarantine.Counts()
 		return int64(remembered)
--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -270,7 +270,7 @@
 		First:   len(s.told) == 0,
 		Engines: packCounts(sum.Engines, s.told.changed(sum.Engines)),
 		Prompts: packCounts(sum.Prompts, most(sum.Prompts, mostPromptsTold)),
-		Scores:  packScores(s.neighbors.sum(now, s.evidence.Scores(), parent.Name)),
+		Scores:  packScores(s.neighbors.sum(now, s.beliefs.Scores(), parent.Name)),
 		PlanAge: neverListed,
 		Steps:   s.neighbors.steps(now),
 	}
@@ -315,9 +315,9 @@
 
 // gather takes in, as the region's first host, what all hosts have told, and draws a plan.
 func (s *Source) gather(now time.Time) {
-	own := s.evidence.Scores()
+	own := s.beliefs.Scores()
 	s.neighbors.setRegion(now, s.neighbors.sum(now, own, ""))
-	s.evidence.TakeScores(without(s.neighbors.all(now), own))
+	s.beliefs.TakeScores(without(s.neighbors.all(now), own))
 	s.options.Plans.Draw(now, s.inProgress(now))
 	s.tellOfPlan(now)
 	s.planned.raise()
@@ -360,9 +360,9 @@
 
 // learn takes in what the host above has told.
 func (s *Source) learn(now time.Time, reply *ExchangeReply) {
-	own := s.evidence.Scores()
+	own := s.beliefs.Scores()
 	s.neighbors.setRegion(now, reply.Scores.unpack())
-	s.evidence.TakeScores(without(s.neighbors.all(now), own))
+	s.beliefs.TakeScores(without(s.neighbors.all(now), own))
 	if reply.Plan != nil {
 		s.options.Plans.Take(reply.Plan, now.Add(-reply.PlanAge))
 	}
--- a/jackdawd/internal/fleet/quarantine.go
+++ b/jackdawd/internal/fleet/quarantine.go
@@ -129,7 +129,7 @@
 // followCases asks the host above for requests under which upstreams have ended, until the context ends.
 // These calls go on while the host above has lost the store, and answers nothing else.
 func (s *Source) followCases(ctx context.Context) {
-	asked, known := "", quarantine.Position{}
+	asked, known, away := "", quarantine.Position{}, false
 	for ctx.Err() == nil {
 		parent, ok := s.directory.LoadParent(time.Now())
 		if !ok {
@@ -141,10 +141,17 @@
 		}
 		reply, err := s.askForCases(ctx, parent, known)
 		if err != nil {
-			// The calls for the configuration show whether the host above is gone.
+			if !away && ctx.Err() == nil {
+				logrus.WithError(err).WithField("peer", parent.Name).Info("fleet: The host above does not tell of crashes. It is asked again.")
+			}
+			away = true
 			pause.For(ctx, lookAgain)
 			continue
 		}
+		if away {
+			logrus.WithField("peer", parent.Name).Info("fleet: The host above tells of crashes.")
+		}
+		away = false
 		s.options.Quarantine.Merge(time.Now(), reply.Cases)
 		known = reply.Until
 	}
--- a/jackdawd/internal/fleet/search.go
+++ b/jackdawd/internal/fleet/search.go
@@ -45,7 +45,7 @@
 			pause.For(ctx, lostPause-time.Since(begun))
 		default:
 			left++
-			c.leave(ctx, parent, err)
+			c.leave(ctx, parent, time.Since(begun), err)
 		}
 		if left == mostParents || (left > 0 && c.ListAge() > c.oldestList()) {
 			break
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -139,8 +139,8 @@
 	toldAt  time.Time
 	// countedBy is the host that counts what was told.
 	countedBy Peer
-	// evidence is what this host holds against upstreams.
-	evidence Evidence
+	// beliefs is what this host knows.
+	beliefs Beliefs
 	// written are the requests that stand on the board.
 	written written
 
@@ -197,7 +197,7 @@
 func (s *Source) Start(beliefs Beliefs) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.evidence = beliefs
+	s.beliefs = beliefs
 	s.done.Go(func() { s.readBoard(ctx) })
 	s.done.Go(func() { s.writeBoard(ctx) })
 	if s.options.Address == "" {
@@ -401,8 +401,10 @@
 }
 
 // leave gives the host that was followed up for a while.
-func (s *Source) leave(ctx context.Context, parent Peer, err error) {
-	logrus.WithError(err).WithField("peer", parent.Name).Info("fleet: The reader is left.")
+func (s *Source) leave(ctx context.Context, parent Peer, took time.Duration, err error) {
+	logrus.WithError(err).WithFields(logrus.Fields{
+		"peer": parent.Name, "took": took.String(), "configuration-age": s.beliefs.Age().String(), "list-age": s.ListAge().String(),
+	}).Info("fleet: The reader is left.")
 	s.asked = ""
 	s.dropClient(parent)
 	s.suspect(ctx, parent, err)
--- a/jackdawd/internal/membership/beliefs.go
+++ b/jackdawd/internal/membership/beliefs.go
@@ -14,7 +14,9 @@
 // beliefs is what only the control goroutine touches.
 type beliefs struct {
 	configuration *traffic.Configuration
-	listed        map[string]traffic.Upstream
+	// late is set while the configuration may be older than operators allow.
+	late   bool
+	listed map[string]traffic.Upstream
 	// known is set once the upstreams have been listed.
 	known bool
 	// since holds when each listed upstream was listed first.
--- a/jackdawd/internal/membership/follow.go
+++ b/jackdawd/internal/membership/follow.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		k.tell(ctx, func(b *beliefs) {
-			k.takeConfiguration(b, c)
+			k.takeConfiguration(b, c, k.options.Uptime()-sent+behind)
 			// Only now is what was read in force here.
 			k.hear(sent - behind)
 		})
@@ -58,14 +58,15 @@
 	return min(max(2*last, retryAfter), longestRetry)
 }
 
-func (k *Keeper) takeConfiguration(b *beliefs, c *traffic.Configuration) {
+// takeConfiguration puts a configuration into force that is known up to so long ago as age says.
+func (k *Keeper) takeConfiguration(b *beliefs, c *traffic.Configuration, age time.Duration) {
 	if b.configuration != nil && c.Version() <= b.configuration.Version() {
 		// The store may return the newest record again; an older one never comes
 		// into force after a newer one.
 		return
 	}
 	b.configuration = c
-	logrus.WithFields(logrus.Fields{"version": c.Version(), "routes": c.Routes()}).Info("membership: A configuration is in force.")
+	logrus.WithFields(logrus.Fields{"version": c.Version(), "routes": c.Routes(), "age": age.String()}).Info("membership: A configuration is in force.")
 	k.publish(b)
 }
 
--- a/jackdawd/internal/membership/keeper.go
+++ b/jackdawd/internal/membership/keeper.go
@@ -76,6 +76,8 @@
 type Bounds struct {
 	// Revoke is how long a revoked key may be honored.
 	Revoke time.Duration
+	// InForce is how long an old configuration may be acted on.
+	InForce time.Duration
 	// Drain is how long a leaving upstream may be sent work.
 	Drain time.Duration
 	// Lapse is how long an upstream must be silent before its entry is removed. If the
@@ -92,7 +94,9 @@
 	heard atomic.Int64
 	// outOfTouch is for how long the configuration was older than reads can make it.
 	outOfTouch atomic.Int64
-	changes    atomic.Pointer[Changes]
+	// late is for how long the configuration may have been older than operators allow.
+	late    atomic.Int64
+	changes atomic.Pointer[Changes]
 	// scores are what speaks against upstreams here, by the short hash of their identifiers.
 	scores atomic.Pointer[map[uint32]float64]
 	// leavers are the upstreams that said in an answer that they leave.
@@ -151,6 +155,9 @@
 // OutOfTouch returns for how long altogether the host had not heard of the configuration as it should.
 func (k *Keeper) OutOfTouch() time.Duration { return time.Duration(k.outOfTouch.Load()) }
 
+// Late returns for how long altogether the configuration may have been older than operators allow.
+func (k *Keeper) Late() time.Duration { return time.Duration(k.late.Load()) }
+
 // Ready reports whether the host can serve: it knows the upstreams, and a
 // configuration that it may act on.
 func (k *Keeper) Ready() bool {
@@ -269,9 +276,7 @@
 		case input := <-k.inputs:
 			input(b)
 		case <-ticker.C:
-			if !k.Current() {
-				k.outOfTouch.Add(int64(tick))
-			}
+			k.watchAge(b)
 			k.expire(b, time.Now())
 			k.takeLeavers(b)
 			k.refresh(b)
@@ -280,6 +285,27 @@
 	}
 }
 
+// watchAge counts, and tells, for how long the configuration was older than it should be.
+func (k *Keeper) watchAge(b *beliefs) {
+	if !k.Current() {
+		k.outOfTouch.Add(int64(tick))
+	}
+	bound, age := k.bounds.Load().InForce, k.Age()
+	late := b.configuration != nil && bound > 0 && age > bound
+	if late {
+		k.late.Add(int64(tick))
+	}
+	if late == b.late {
+		return
+	}
+	b.late = late
+	if late {
+		logrus.WithFields(logrus.Fields{"age": age.String(), "bound": bound.String()}).Warn("membership: The configuration may be older than operators allow.")
+		return
+	}
+	logrus.WithField("age", age.String()).Info("membership: The configuration is known in time again.")
+}
+
 // do has an input taken in, and returns when it has been: the next call of a source means that.
 func (k *Keeper) do(ctx context.Context, input func(*beliefs)) {
 	done := make(chan struct{})
--- a/jackdawd/internal/membership/keeper_test.go
+++ b/jackdawd/internal/membership/keeper_test.go
@@ -323,3 +323,22 @@
 		require.Len(t, known, 21)
 	})
 }
+
+// The store is silent for longer than operators allow. What they read afterwards must say that
+// the host went on with a configuration that may have been too old, and for how long.
+func TestLateConfigurationIsCounted(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *atomic.Int64) {
+		k.SetBounds(Bounds{Revoke: 5 * time.Second, InForce: 3500 * time.Millisecond, Drain: 2 * time.Second})
+		time.Sleep(10 * time.Second)
+		require.Zero(t, k.Late())
+		s.set(func(s *source) { s.silent = true })
+		time.Sleep(6 * time.Second)
+		s.set(func(s *source) { s.silent = false })
+		time.Sleep(3 * time.Second)
+		late := k.Late()
+		require.GreaterOrEqual(t, late, 6*time.Second-3500*time.Millisecond-tick)
+		require.LessOrEqual(t, late, 6*time.Second)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, late, k.Late())
+	})
+}
