--- a/common/peers/client.go
+++ b/common/peers/client.go
@@ -48,6 +48,9 @@
 	if err != nil {
 		return fmt.Errorf("call %s at %s: %w", method, address, err)
 	}
+	// A write does not return while the other side reads nothing; closing the connection ends it.
+	stop := context.AfterFunc(ctx, func() { c.drop(address, conn) })
+	defer stop()
 	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -58,6 +61,9 @@
 	if err == nil {
 		return nil
 	}
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	}
 	var answered rpc.ServerError
 	if !errors.As(err, &answered) {
 		// The connection may be dead; a paused host would hold every later call too.
@@ -88,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := raw.Write(c.proof[:]); err != nil {
+	if err := c.prove(ctx, raw); err != nil {
 		_ = raw.Close()
 		return nil, err
 	}
@@ -103,6 +109,16 @@
 	return conn, nil
 }
 
+// prove tells the other side that this one knows the fleet's secret.
+func (c *Client) prove(ctx context.Context, raw net.Conn) error {
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	defer stop()
+	if _, err := raw.Write(c.proof[:]); err != nil {
+		return errors.Join(ctx.Err(), err)
+	}
+	return nil
+}
+
 func (c *Client) drop(address string, conn *rpc.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/common/peers/client_test.go
@@ -0,0 +1,32 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A process that stands still reads nothing: once the window of its connection is full, writes to it do not return. A call must
+// end with its context all the same.
+func TestCallEndsWhileNothingIsRead(t *testing.T) {
+	for name, reads := range map[string]int{"proof": 0, "request": len(Client{}.proof)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				defer func() { require.NoError(t, far.Close()) }()
+				go func() { _, _ = far.Read(make([]byte, reads)) }()
+				c := NewClientOf("secret", func(context.Context, string, string) (net.Conn, error) { return near, nil })
+				defer c.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				begun := time.Now()
+				require.ErrorIs(t, c.Call(ctx, "10.0.0.1:7340", "Fleet.Follow", &struct{ N int }{1}, &struct{ N int }{}), context.DeadlineExceeded)
+				require.Equal(t, time.Second, time.Since(begun))
+			})
+		})
+	}
+}
