--- a/jackdawd/internal/quarantine/case.go
+++ b/jackdawd/internal/quarantine/case.go
@@ -14,6 +14,9 @@
 	// request that was barred by mistake has a second chance after an hour.
 	suspectedFor = 10 * time.Minute
 	barredFor    = time.Hour
+	// tellingError bounds by how much later than it was a crash may seem at another host: its age does not grow while the
+	// messages that tell of it are on their way.
+	tellingError = 100 * time.Millisecond
 )
 
 // crash is one upstream that ended under a request.
@@ -24,8 +27,12 @@
 	from, at time.Time
 }
 
-// before reports whether the upstream had ended before the request was sent to another one.
-func (c crash) before(other crash) bool { return !other.from.Before(c.at) }
+// before reports whether the upstream had ended before the request was sent to another one. Those that end at one
+// moment overlap for as long as the later one had the request.
+func (c crash) before(other crash) bool {
+	overlap := c.at.Sub(other.from)
+	return overlap <= min(tellingError, other.at.Sub(other.from)/2)
+}
 
 // suspect is what is known of one request under which upstreams have ended.
 type suspect struct {
--- a/jackdawd/internal/quarantine/registry_test.go
+++ b/jackdawd/internal/quarantine/registry_test.go
@@ -68,6 +68,26 @@
 	}
 }
 
+// A request is sent to the next upstream as soon as one has ended under it. What each host saw reaches another one
+// through messages that take longer or shorter, so that one crash seems to end after the next one began: all three count.
+func TestCrashesToldWithDifferentDelaysCount(t *testing.T) {
+	for name, delays := range map[string][3]time.Duration{
+		"none":            {},
+		"first is late":   {2 * time.Millisecond, 0, 0},
+		"second is late":  {0, 20 * time.Millisecond, 0},
+		"each is earlier": {25 * time.Millisecond, 10 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRegistry()
+			for n, delay := range delays {
+				told := CrashRecord{Start: uint32(n), Age: time.Duration(3-n) * briefly, Ran: briefly}
+				r.Merge(at(5).Add(delay), []Record{{Request: suspicious, Crashes: []CrashRecord{told}}})
+			}
+			require.True(t, barred(r, at(6), suspicious))
+		})
+	}
+}
+
 // Callers ask for the same again and again, and upstreams are lost one after the other for another reason. Between
 // two losses others answer, which shows that the request is innocent.
 func TestAnsweredRequestIsInnocent(t *testing.T) {
