--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -119,7 +119,7 @@
 	h.balancer = placement.NewBalancer(h.loads, h.engines, h.loadMultiple)
 	h.source = fleet.NewSource(fleet.Options{
 		Name: o.Name, FailureDomain: o.FailureDomain, Region: o.Region, Address: o.Peers, Strength: o.Strength, FirstStart: o.FirstStart, Board: o.Board,
-		Configurations: o.Configurations, Upstreams: o.Upstreams, Plans: h.balancer, Uptime: uptime, Decode: o.Decode,
+		Configurations: o.Configurations, Upstreams: o.Upstreams, Plans: h.balancer, Uptime: uptime, InForce: h.inForce, Decode: o.Decode,
 		Quarantine: h.quarantine, QuarantineBoard: o.QuarantineBoard,
 	})
 	h.keeper = membership.NewKeeper(membership.Options{
@@ -171,6 +171,8 @@
 
 func (h *Host) hosts() int { return h.source.Directory().Size() }
 
+func (h *Host) inForce() time.Duration { return h.bounds.Load().InForce }
+
 func (h *Host) loadMultiple() float64 { return h.bounds.Load().LoadMultiple }
 
 // SetBounds puts other bounds into force.
--- /dev/null
+++ b/jackdawd/internal/fleet/deadline_test.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A host above goes on telling of upstreams, and of no configuration. The one below must not go by what it tells for longer
+// than operators allow.
+func TestStoreIsAskedBeforeTheBoundIsPassed(t *testing.T) {
+	for name, test := range map[string]struct {
+		age  time.Duration
+		asks bool
+	}{
+		"young":    {time.Second, false},
+		"just due": {1600 * time.Millisecond, true},
+		"late":     {time.Minute, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			// Both hosts have the same beliefs here.
+			p.known.behind.Store(int64(test.age))
+			p.follower.version = 5
+			_, _, err := configurations{p.follower}.Next(t.Context(), 0)
+			require.NoError(t, err)
+			require.Equal(t, test.asks, !p.follower.ownRead.at.IsZero())
+		})
+	}
+}
+
+// The store is away for all. Where hundreds of hosts try it, each does so once.
+func TestStoreThatIsAwayIsAskedOnceByACrowd(t *testing.T) {
+	for name, test := range map[string]struct {
+		hosts  int
+		failed bool
+		after  time.Duration
+		asks   bool
+	}{
+		"small fleet":                  {8, true, lostPause, true},
+		"crowd":                        {smallFleet, true, lostPause, false},
+		"crowd, later":                 {smallFleet, true, crowdedRetry, true},
+		"crowd, answered":              {smallFleet, false, longestReaderWait, true},
+		"answered a moment ago":        {8, false, 0, false},
+		"small fleet, failed just now": {8, true, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			notices := map[string][]byte{}
+			for i := range test.hosts {
+				notices[fmt.Sprintf("entry-%d", i)] = notice(t, "x", "a")
+			}
+			p.follower.directory.Take(notices, true, 99)
+			p.known.behind.Store(int64(time.Minute))
+			p.follower.ownRead = ownRead{at: time.Now().Add(-test.after), failed: test.failed}
+			require.Equal(t, test.asks, configurations{p.follower}.mustRead())
+		})
+	}
+}
+
+// A host above is silent. The call to it ends before the store must be read.
+func TestCallsLeaveTimeForTheStore(t *testing.T) {
+	p := newPair(t)
+	require.Equal(t, longestCall, p.follower.callTime())
+	p.known.behind.Store(int64(1200 * time.Millisecond))
+	require.Equal(t, 400*time.Millisecond, p.follower.callTime())
+	p.known.behind.Store(0)
+	p.follower.heardList(p.follower.options.Uptime() - 1200*time.Millisecond)
+	require.InDelta(t, 400*time.Millisecond, p.follower.callTime(), float64(50*time.Millisecond))
+	p.known.behind.Store(int64(time.Minute))
+	require.Equal(t, longestCall, p.follower.callTime(), "the store was asked before")
+}
+
+// Operators state a bound that hosts cannot keep by telling each other. A line names it, or nobody learns why
+// the store is called more often.
+func TestShortBoundIsNamed(t *testing.T) {
+	for name, test := range map[string]struct {
+		inForce, drain time.Duration
+		bound          string
+	}{
+		"today":         {2 * time.Second, 2 * time.Second, ""},
+		"large":         {4 * time.Second, 4 * time.Second, ""},
+		"configuration": {time.Second, 2 * time.Second, "in-force"},
+		"upstreams":     {2 * time.Second, 800 * time.Millisecond, "drain"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			p.follower.options.InForce = func() time.Duration { return test.inForce }
+			p.follower.pace.Store(int64(drainShare * float64(test.drain)))
+			err := p.follower.checkBounds()
+			if test.bound == "" {
+				require.NoError(t, err)
+				return
+			}
+			var short *BoundError
+			require.ErrorAs(t, err, &short)
+			require.Equal(t, test.bound, short.Bound)
+			require.Greater(t, short.Tells, time.Duration(ownShare*float64(short.Is)))
+		})
+	}
+}
--- a/jackdawd/internal/fleet/directory.go
+++ b/jackdawd/internal/fleet/directory.go
@@ -239,6 +239,13 @@
 	return len(d.hosts) >= largeFleet
 }
 
+// Crowded reports whether there are so many hosts that they must not all look for the store.
+func (d *Directory) Crowded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.small()
+}
+
 // small reports whether there are so few hosts that all may look for the store; the lock must be held.
 func (d *Directory) small() bool { return len(d.hosts) < smallFleet }
 
--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -15,7 +15,7 @@
 
 type configurations struct{ *Source }
 
-// Next asks the host above if there is one, else the store.
+// Next asks the host above if there is one, else the store; the store at once if others have told nothing in time.
 func (c configurations) Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, time.Duration, error) {
 	if c.version == 0 && !c.options.FirstStart {
 		if next, err := c.first(ctx); err == nil && next != nil {
@@ -30,14 +30,28 @@
 	// two answers to the age of what it passes on.
 	c.refreshedAt = time.Now()
 	c.refreshed.raise()
-	next, behind, left, err := c.followAny(ctx)
-	if next != nil || err == nil {
-		return next, behind, nil
-	}
-	if ctx.Err() != nil {
-		return nil, 0, ctx.Err()
+	entered := c.options.Uptime()
+	for {
+		if c.mustRead() {
+			sent := c.options.Uptime()
+			if next, err := c.readInTime(ctx); err == nil {
+				return next, entered - sent, nil
+			}
+		}
+		asked := c.options.Uptime()
+		next, behind, left, err := c.followAny(ctx)
+		switch {
+		case next != nil || err == nil:
+			return next, behind - (asked - entered), nil
+		case ctx.Err() != nil:
+			return nil, 0, ctx.Err()
+		case errors.Is(err, errNoTimeLeft):
+			continue
+		}
+		sent := c.options.Uptime()
+		next, err = c.readStore(ctx, wait, left)
+		return next, entered - sent, err
 	}
-	return c.readStore(ctx, wait, left)
 }
 
 // first reads the first configuration from the store: all hosts' together are little, and
@@ -54,25 +68,35 @@
 // readStore reads the configuration from the store; left is set if the host that was
 // followed has just been left. Asking one host after the other could take longer
 // than the bounds allow, so the store is next, at once.
-func (c configurations) readStore(ctx context.Context, wait time.Duration, left bool) (*traffic.Configuration, time.Duration, error) {
+func (c configurations) readStore(ctx context.Context, wait time.Duration, left bool) (*traffic.Configuration, error) {
 	c.setFollowing(nil)
-	if left {
+	if left && c.beliefs.Age() > c.readerWait() {
 		wait = 0
 	}
-	next, err := c.options.Configurations.Next(ctx, min(wait, readerWait))
+	next, err := c.readConfiguration(ctx, min(wait, c.readerWait()))
+	if err != nil && (c.ListAge() > c.oldestList() || c.beliefs.Age() > c.oldestConfiguration()) {
+		// Others may be better off.
+		c.directory.TurnAway(time.Now())
+	}
+	return next, err
+}
+
+// readConfiguration makes one read of the configuration from the store.
+func (c configurations) readConfiguration(ctx context.Context, wait time.Duration) (*traffic.Configuration, error) {
+	next, err := c.options.Configurations.Next(ctx, wait)
 	if next != nil {
 		c.version = max(c.version, next.Version())
 	}
-	if err != nil && c.ListAge() > c.oldestList() {
-		// Others may be better off.
-		c.directory.TurnAway(time.Now())
+	if was := c.storeLost.Swap(err != nil); was && err == nil {
+		c.storeBack.raise()
 	}
-	return next, 0, err
+	return next, err
 }
 
 // follow makes one call to the host above, which answers at once if its list is older than given.
 func (c configurations) follow(ctx context.Context, parent Peer, oldest time.Duration) (*traffic.Configuration, time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
+	limit := c.callTime()
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sent := c.options.Uptime()
 	args := FollowArgs{
@@ -88,6 +112,10 @@
 	var reply FollowReply
 	if err := c.client(parent).Call(ctx, parent.Address, followCall, &args, &reply); err != nil {
 		c.notTold()
+		if ctx.Err() != nil && limit < longestCall {
+			// The other host may have held the call for as long as it was asked to.
+			return nil, 0, errNoTimeLeft
+		}
 		return nil, 0, err
 	}
 	if reply.Behind > c.oldestConfiguration() || reply.ListBehind > c.oldestList() {
--- a/jackdawd/internal/fleet/limits.go
+++ b/jackdawd/internal/fleet/limits.go
@@ -13,25 +13,29 @@
 	// followTimeout is how long beyond that an answer may take. A host that is frozen
 	// or cut off is left after that, long before any bound is reached.
 	followTimeout = 300 * time.Millisecond
+	// longestCall is how long a follower's call takes at most.
+	longestCall = followWait + followTimeout
 	// readerPace is the part of the usual pace at which a reader reads the upstreams, so
 	// that a follower that has to leave it still learns of a change in time.
 	readerPace = 0.5
-	// readerWait bounds how long a reader's read of the configuration waits, for the same reason.
-	readerWait = time.Second
-	// staleSlack is how much older than two of a reader's reads, of readerWait each, and the
-	// time between two of its answers a configuration may be, for what reads may take while
-	// the store is slow. The sooner a host that has lost the store is left, the more time is
-	// left to read it here: of 4.8 s 3.4 s are gone then at most, and 1.1 s more if the
-	// host is silent. Left sooner, sound hosts were left by all at once, each nine seconds,
-	// where they read the upstreams at the longer pace of larger fleets.
+	// waitShare is the part of the time for which an old configuration may be acted on that a reader's
+	// read of it waits, longestReaderWait the most. A configuration is up to two such reads old at a reader, and
+	// those below hear how old when the reader has read the upstreams.
+	waitShare         = 0.125
+	longestReaderWait = time.Second
+	// staleSlack is how much older than that a configuration may be, for what reads may take while
+	// the store is slow.
 	staleSlack = 300 * time.Millisecond
 	// listSlack is how much older than the time between two of its reads a reader's list
 	// of upstreams may be. An upstream may say that it leaves just after the last read; this,
 	// followTimeout and a read of the store come on top until a follower knows, 1.5 s
 	// altogether where 2 s are allowed.
 	listSlack = 400 * time.Millisecond
-	// usualPace holds until the upstreams are asked for.
-	usualPace = 1500 * time.Millisecond
+	// lostListWait is how long a host that has lost the store at most leaves the list of upstreams unread there.
+	lostListWait = 4 * time.Second
+	// usualPace holds until the upstreams are asked for, usualInForce where operators state no bound.
+	usualPace    = 1500 * time.Millisecond
+	usualInForce = 2 * time.Second
 	// neverListed stands for the age of what was never read.
 	neverListed = time.Hour
 	// largeFleet is from how many hosts on one that has just started does not read the
@@ -69,7 +73,7 @@
 // question there and a read of the store fit into the time for which an upstream that leaves
 // may be sent work.
 func (s *Source) mostLost() time.Duration {
-	return max(time.Duration(float64(s.pace.Load())/drainShare)-lostMargin, s.oldestList()+leastLost)
+	return max(s.drain()-lostMargin, s.oldestList()+leastLost)
 }
 
 // oldestList returns how old the list of upstreams of a host that is followed may be.
@@ -77,12 +81,32 @@
 	return s.readerInterval() + listSlack
 }
 
-// readerInterval returns how often readers read the list of upstreams.
+// readerInterval returns how often readers read the list of upstreams. Those below hear with it how old the
+// configuration is.
 func (s *Source) readerInterval() time.Duration {
-	return time.Duration(readerPace * float64(s.pace.Load()))
+	return time.Duration(readerPace * min(float64(s.pace.Load()), drainShare*float64(s.inForce())))
+}
+
+// readerWait returns how long a reader's read of the configuration waits.
+func (s *Source) readerWait() time.Duration {
+	return min(longestReaderWait, time.Duration(waitShare*float64(s.inForce())))
 }
 
 // oldestConfiguration returns how old the configuration of a host that is followed may be.
 func (s *Source) oldestConfiguration() time.Duration {
-	return 2*readerWait + s.readerInterval() + staleSlack
+	return 2*s.readerWait() + s.readerInterval() + staleSlack
 }
+
+// inForce returns for how long operators let an old configuration be acted on.
+func (s *Source) inForce() time.Duration {
+	if s.options.InForce == nil {
+		return usualInForce
+	}
+	if bound := s.options.InForce(); bound > 0 {
+		return bound
+	}
+	return usualInForce
+}
+
+// drain returns for how long operators let an upstream that leaves be sent work.
+func (s *Source) drain() time.Duration { return time.Duration(float64(s.pace.Load()) / drainShare) }
--- a/jackdawd/internal/fleet/search.go
+++ b/jackdawd/internal/fleet/search.go
@@ -18,6 +18,9 @@
 	left, entered := 0, c.options.Uptime()
 	var away absence
 	for parent, ok := c.parent(); ok && ctx.Err() == nil; parent, ok = c.parent() {
+		if left == 0 && c.mustRead() {
+			return nil, 0, false, errNoTimeLeft
+		}
 		patient := c.patient()
 		if c.gathers {
 			c.gathers = false
@@ -34,20 +37,22 @@
 			return next, behind - waited, false, nil
 		}
 		var stale *StaleError
-		switch {
+		switch took := time.Since(begun); {
+		case errors.Is(err, errNoTimeLeft):
+			// The store is next.
 		case patient:
-			if !errors.As(err, &stale) && time.Since(begun) > followTimeout {
+			if !errors.As(err, &stale) && took > followTimeout {
 				// It is not even starting.
 				c.suspect(ctx, parent, err)
 			}
 			pause.For(ctx, startPause)
 		case c.waitsFor(ctx, err, &away):
-			pause.For(ctx, lostPause-time.Since(begun))
+			pause.For(ctx, lostPause-took)
 		default:
 			left++
-			c.leave(ctx, parent, time.Since(begun), err)
+			c.leave(ctx, parent, took, err)
 		}
-		if left == mostParents || (left > 0 && c.ListAge() > c.oldestList()) {
+		if left == mostParents || (left > 0 && (c.ListAge() > c.oldestList() || c.timeLeft() < followTimeout)) {
 			break
 		}
 	}
@@ -88,7 +93,7 @@
 		return false
 	}
 	others := c.directory.Elsewhere(time.Now())
-	if len(others) == 0 {
+	if len(others) == 0 || c.readsStore() {
 		return false
 	}
 	if !away.told {
@@ -107,6 +112,11 @@
 	return first
 }
 
+// readsStore reports whether this host reads the store itself, and is answered.
+func (s *Source) readsStore() bool {
+	return s.following.Load() == nil && s.ListAge() <= s.oldestList()
+}
+
 // allHaveLostStore reports whether all of some hosts answer that what they know is too old as well.
 func (c configurations) allHaveLostStore(ctx context.Context, others []Peer) bool {
 	for _, other := range others {
@@ -132,6 +142,9 @@
 	return reply.List > min(youngest, c.oldestList()) || reply.Configuration > c.oldestConfiguration()
 }
 
+// errNoTimeLeft says that the store must be read before other hosts are asked again.
+var errNoTimeLeft = errors.New("nothing was heard in time")
+
 // errNoParent says that this host follows none.
 var errNoParent = errors.New("there is no host to follow")
 
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -90,6 +90,8 @@
 	QuarantineBoard QuarantineBoard
 	// Uptime is a steady clock that also counts the time for which the host was suspended.
 	Uptime func() time.Duration
+	// InForce returns for how long operators let an old configuration be acted on.
+	InForce func() time.Duration
 	// Decode reads a configuration that another host passes on.
 	Decode func(document []byte) (*traffic.Configuration, error)
 	// Listen and Dial make connections between hosts, over TCP if they are nil.
@@ -131,6 +133,11 @@
 	position    membership.Position
 	version     int64
 	parentHeard time.Duration
+	// storeLost is set while reads of the configuration from the store fail, storeBack raised when they no longer do.
+	storeLost atomic.Bool
+	storeBack *signal
+	// ownRead is the last read of the configuration that was made because others told nothing in time.
+	ownRead ownRead
 
 	// telling guards what follows up to countedBy: toldTo, told and toldAt are which host was told of requests in progress, what and when.
 	telling sync.Mutex
@@ -152,6 +159,8 @@
 	// known once what was handed on is taken in; they belong to the goroutine that reads upstreams.
 	lost  bool
 	heard time.Duration
+	// listFailed is set if the last read of the list from the store failed.
+	listFailed bool
 	// left holds a token when a host was left, for the upstreams to be read at once.
 	left chan struct{}
 	// listHeard is the moment up to which the upstreams are known, pace how often they
@@ -184,7 +193,7 @@
 		options: o, directory: NewDirectory(self), neighbors: newNeighbors(), clients: map[Peer]*peers.Client{},
 		joined: make(chan struct{}), settled: make(chan struct{}),
 		patientUntil: time.Now().Add(startPatience + mathrand.N(startSpread)),
-		changes:      make(chan told, queuedChanges), left: make(chan struct{}, 1), refreshed: newSignal(), planned: newSignal(),
+		changes:      make(chan told, queuedChanges), left: make(chan struct{}, 1), refreshed: newSignal(), planned: newSignal(), storeBack: newSignal(),
 	}
 	s.written.requests = map[string]bool{}
 	s.intake.until, s.heard = neverHeard, neverHeard
@@ -198,6 +207,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.beliefs = beliefs
+	if err := s.checkBounds(); err != nil {
+		logrus.WithError(err).Warn("fleet: Hosts must ask the store more often to keep a bound.")
+	}
 	s.done.Go(func() { s.readBoard(ctx) })
 	s.done.Go(func() { s.writeBoard(ctx) })
 	if s.options.Address == "" {
--- a/jackdawd/internal/fleet/upstreams.go
+++ b/jackdawd/internal/fleet/upstreams.go
@@ -27,7 +27,7 @@
 		}
 	}
 	if u.following.Load() == nil {
-		return u.read(ctx, pace)
+		return u.read(ctx, u.readerInterval())
 	}
 	return u.awaitChange(ctx, pace)
 }
@@ -68,11 +68,14 @@
 	}
 }
 
-// read reads the store, not sooner than the pace allows.
-func (u upstreams) read(ctx context.Context, pace time.Duration) (traffic.UpstreamChange, error) {
-	// Others may follow this host already, or soon.
-	pace = time.Duration(readerPace * float64(pace))
-	if wait := pace - time.Since(u.listedAt); wait > 0 {
+// read reads the store, not sooner than so long after the last time.
+func (u upstreams) read(ctx context.Context, interval time.Duration) (traffic.UpstreamChange, error) {
+	wait, back := interval-time.Since(u.listedAt), u.storeBack.raised()
+	if u.listFailed && u.storeLost.Load() {
+		// The reads of the configuration show when the store is back.
+		wait = lostListWait
+	}
+	if wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
@@ -80,6 +83,7 @@
 			// It was told just before the store is read again.
 			change, _ := u.hand(t)
 			return change, nil
+		case <-back:
 		case <-timer.C:
 		case <-ctx.Done():
 			return traffic.UpstreamChange{}, ctx.Err()
@@ -91,6 +95,7 @@
 	sent := u.options.Uptime()
 	change, err := u.options.Upstreams.Next(ctx)
 	u.intake.end(err == nil, u.options.Uptime())
+	u.listFailed = err != nil
 	if err == nil {
 		u.listedAt = time.Now()
 		u.heard = sent
