--- a/common/traffic/upstream.go
+++ b/common/traffic/upstream.go
@@ -86,6 +86,9 @@
 type UpstreamChange struct {
 	// Whole is set if Entries is the complete list, so that whatever it lacks is gone.
 	Whole bool
+	// Restored is set if the list is that of an older copy, from which the platform's list has come back: upstreams that
+	// it lacks may have come since.
+	Restored bool
 	// Entries stand in the order in which they were written: of two on one upstream the later holds.
 	Entries []UpstreamEntry
 	// Skipped are the errors of entries that could not be read.
--- a/jackdawd/internal/fleet/board.go
+++ b/jackdawd/internal/fleet/board.go
@@ -54,6 +54,13 @@
 	delete(w.requests, request)
 }
 
+// clear forgets what stands on the board.
+func (w *written) clear() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.requests)
+}
+
 func (w *written) has(request string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/jackdawd/internal/fleet/directory.go
+++ b/jackdawd/internal/fleet/directory.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -9,6 +8,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"jackdawhinge/common/traffic"
 )
 
 const (
@@ -60,7 +61,7 @@
 // entry is a host entry and the position on the board at which it was known.
 type entry struct {
 	notice *Notice
-	at     int64
+	at     traffic.LogPosition
 }
 
 // A Directory is the hosts that are known here, as they stood on the board when this host
@@ -70,9 +71,9 @@
 	mu   sync.Mutex
 	// board is what is known of the board up to a position, hosts the same and this host.
 	board map[string]entry
-	until int64
+	until traffic.LogPosition
 	// forgotten is the position up to which hosts that were removed may be missing.
-	forgotten int64
+	forgotten traffic.LogPosition
 	hosts     map[string]Notice
 	suspects  map[string]suspicion
 	// turnedAway is until when the store is taken to turn this host away.
@@ -99,15 +100,16 @@
 }
 
 // Take takes in what was read of the board up to a position, nil where a notice was removed;
-// whole is set if the notices are all that there are. It reports whether this host's own is missing.
-func (d *Directory) Take(notices map[string][]byte, whole bool, until int64) (missing bool) {
+// whole is set if the notices are all that there are. Hosts that an older copy of the board lacks stay known: they
+// write their notices again. It reports whether this host's own is missing.
+func (d *Directory) Take(notices map[string][]byte, whole bool, until traffic.LogPosition) (missing bool) {
 	decoded := decodeNotices(notices)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if until < d.until {
+	if until.Before(d.until) {
 		return d.missing()
 	}
-	if whole {
+	if whole && until.Era == d.until.Era {
 		for name := range d.board {
 			if _, ok := decoded[name]; !ok {
 				decoded[name] = nil
@@ -124,10 +126,10 @@
 
 // Learn takes in what another host knows of the board up to a position, if that is more than
 // this one does, and reports whether this host's own notice is missing there.
-func (d *Directory) Learn(entries []HostEntry, whole bool, until int64) (missing bool) {
+func (d *Directory) Learn(entries []HostEntry, whole bool, until traffic.LogPosition) (missing bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if until <= d.until {
+	if !d.until.Before(until) {
 		return false
 	}
 	if whole {
@@ -144,12 +146,12 @@
 // Since returns what has changed on the board since a position, as far as this host knows, and
 // up to which. Whole is set if the entries are all that there are, for a host that may know
 // of others which were removed long ago.
-func (d *Directory) Since(position int64) (entries []HostEntry, whole bool, until int64) {
+func (d *Directory) Since(position traffic.LogPosition) (entries []HostEntry, whole bool, until traffic.LogPosition) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	whole = position < d.forgotten
+	whole = position.Before(d.forgotten)
 	for name, e := range d.board {
-		if e.at > position || whole {
+		if position.Before(e.at) || whole {
 			entries = append(entries, HostEntry{Name: name, Notice: e.notice})
 		}
 	}
@@ -157,7 +159,7 @@
 }
 
 // Until returns up to which position the board is known.
-func (d *Directory) Until() int64 {
+func (d *Directory) Until() traffic.LogPosition {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.until
@@ -165,7 +167,7 @@
 
 // put takes in a host's notice, nil if it was removed; the lock must be held. What was removed
 // is remembered for hosts below that still know it.
-func (d *Directory) put(name string, n *Notice, at int64) {
+func (d *Directory) put(name string, n *Notice, at traffic.LogPosition) {
 	old := d.board[name].notice
 	if old == n || (old != nil && n != nil && *old == *n) {
 		return
@@ -186,9 +188,11 @@
 	if len(gone) <= rememberedHosts {
 		return
 	}
-	slices.SortFunc(gone, func(a, b string) int { return cmp.Compare(d.board[a].at, d.board[b].at) })
+	slices.SortFunc(gone, func(a, b string) int { return d.board[a].at.Compare(d.board[b].at) })
 	for _, name := range gone[:len(gone)-rememberedHosts] {
-		d.forgotten = max(d.forgotten, d.board[name].at)
+		if at := d.board[name].at; d.forgotten.Before(at) {
+			d.forgotten = at
+		}
 		delete(d.board, name)
 	}
 }
--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -122,9 +122,12 @@
 		return nil, 0, &StaleError{Reader: parent.Name, Behind: max(reply.Behind, reply.ListBehind)}
 	}
 	c.learn(time.Now(), &reply.Exchange)
-	if reply.HostsUntil > 0 && c.directory.Learn(reply.Hosts, reply.HostsWhole, reply.HostsUntil) {
+	if !reply.HostsUntil.IsZero() && c.directory.Learn(reply.Hosts, reply.HostsWhole, reply.HostsUntil) {
 		c.missed.Store(true)
 	}
+	if args.Hosts.Era != reply.HostsUntil.Era && !reply.HostsUntil.IsZero() {
+		c.restoredOnce()
+	}
 	next, behind, err := c.take(parent, reply, sent+reply.Waited-reply.ListBehind)
 	if err != nil {
 		// What was missed is told again.
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -37,7 +37,7 @@
 	Wait   time.Duration
 	Oldest time.Duration
 	// Hosts is up to which position the follower knows the list of hosts.
-	Hosts int64
+	Hosts traffic.LogPosition
 	// Exchange is what the follower knows of loads.
 	Exchange ExchangeArgs
 }
@@ -63,7 +63,7 @@
 	// HostsWhole is set.
 	Hosts      []HostEntry
 	HostsWhole bool
-	HostsUntil int64
+	HostsUntil traffic.LogPosition
 	// Exchange is what is known of loads here.
 	Exchange ExchangeReply
 }
--- a/jackdawd/internal/fleet/quarantine_test.go
+++ b/jackdawd/internal/fleet/quarantine_test.go
@@ -33,7 +33,8 @@
 // quarantineView is the board of barred requests as one process follows it.
 type quarantineView struct {
 	*storeView
-	read int
+	read    int
+	readEra int64
 }
 
 // Put writes a notice.
@@ -56,6 +57,9 @@
 	for until := time.Now().Add(wait); ; pause.For(ctx, look) {
 		v.mu.Lock()
 		notices := map[string][]byte{}
+		if v.readEra != v.countingStore.era {
+			v.readEra, v.read = v.countingStore.era, 0
+		}
 		for _, r := range v.barred[v.read:] {
 			notices[r.request] = r.notice
 		}
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -76,7 +76,7 @@
 	reply.Behind, reply.ListBehind = s.beliefs.Age(), s.source.ListAge()
 	reply.Heard = time.Duration(s.source.listHeard.Load())
 	changes := s.beliefs.Changes()
-	if s.source.directory.Until() > args.Hosts {
+	if args.Hosts.Before(s.source.directory.Until()) {
 		reply.Hosts, reply.HostsWhole, reply.HostsUntil = s.source.directory.Since(args.Hosts)
 	}
 	reply.Exchange = s.source.answer(time.Now(), called, &args.Exchange)
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -37,6 +37,10 @@
 	// to write their notices before it reads the list: they start within 0.3 s of each other and
 	// write at once. It then knows all that there are, and need not read again.
 	gatherHosts = 800 * time.Millisecond
+	// restoredSpread is within which time hosts write their notices again when the store has come back from an
+	// older copy, restoredReread when they all have: they hear of it within some steps down the tree.
+	restoredSpread = 500 * time.Millisecond
+	restoredReread = 1500 * time.Millisecond
 	// announceEvery is how often a host writes its notice again, which another host may
 	// have removed that could not reach it.
 	announceEvery = 10 * time.Minute
@@ -56,7 +60,7 @@
 // A Board is where hosts write of themselves.
 type Board interface {
 	Put(ctx context.Context, host string, notice []byte) error
-	Next(ctx context.Context) (notices map[string][]byte, whole bool, until int64, err error)
+	Next(ctx context.Context) (notices map[string][]byte, whole bool, until traffic.LogPosition, err error)
 }
 
 // StoreConfigurations reads the configuration from the store.
@@ -177,8 +181,10 @@
 	// notice is not on it.
 	reread atomic.Bool
 	missed atomic.Bool
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	// restored holds a token when the store has come back from an older copy.
+	restored chan struct{}
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 }
 
 // NewSource returns a source; Start makes it known to other hosts.
@@ -193,7 +199,7 @@
 		options: o, directory: NewDirectory(self), neighbors: newNeighbors(), clients: map[Peer]*peers.Client{},
 		joined: make(chan struct{}), settled: make(chan struct{}),
 		patientUntil: time.Now().Add(startPatience + mathrand.N(startSpread)),
-		changes:      make(chan told, queuedChanges), left: make(chan struct{}, 1), refreshed: newSignal(), planned: newSignal(), storeBack: newSignal(),
+		changes:      make(chan told, queuedChanges), left: make(chan struct{}, 1), restored: make(chan struct{}, 1), refreshed: newSignal(), planned: newSignal(), storeBack: newSignal(),
 	}
 	s.written.requests = map[string]bool{}
 	s.intake.until, s.heard = neverHeard, neverHeard
@@ -360,9 +366,19 @@
 // followDirectory keeps the list of hosts and this host's notice on it until the context ends.
 func (s *Source) followDirectory(ctx context.Context) {
 	read, announced := time.Now(), time.Now()
-	spread := mathrand.N(directorySpread)
+	era, spread := s.directory.Until().Era, mathrand.N(directorySpread)
 	for ctx.Err() == nil {
-		pause.For(ctx, directoryTick)
+		select {
+		case <-s.restored:
+			s.readRestored(ctx)
+		case <-time.After(directoryTick):
+		case <-ctx.Done():
+		}
+		if now := s.directory.Until().Era; now != era {
+			era, announced = now, time.Now()
+			pause.For(ctx, mathrand.N(restoredSpread))
+			s.announce(ctx)
+		}
 		if since := time.Since(announced); since > announceEvery || (since > rereadEvery && s.missed.Swap(false)) {
 			s.announce(ctx)
 			announced = time.Now()
@@ -374,11 +390,32 @@
 	}
 }
 
+// readRestored reads the list of hosts after the store has come back from an older copy, so that all hear of that, and
+// again when they have written their notices.
+func (s *Source) readRestored(ctx context.Context) {
+	if _, follows := s.parent(); follows {
+		return
+	}
+	s.readDirectory(ctx)
+	s.done.Go(func() {
+		pause.For(ctx, restoredReread)
+		s.readDirectory(ctx)
+	})
+}
+
+// restoredOnce wakes the one who keeps the list of hosts, as the store has come back from an older copy.
+func (s *Source) restoredOnce() {
+	select {
+	case s.restored <- struct{}{}:
+	default:
+	}
+}
+
 // directoryDue reports whether the list of hosts is to be read that was read some time ago.
 func (s *Source) directoryDue(ago time.Duration) bool {
 	_, follows := s.parent()
 	switch {
-	case s.directory.Until() == 0:
+	case s.directory.Until().IsZero():
 		// Nobody is known.
 		return ago > directoryTick
 	case s.reread.Load():
--- a/jackdawd/internal/fleet/upstreams.go
+++ b/jackdawd/internal/fleet/upstreams.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/membership"
 )
@@ -96,11 +98,22 @@
 	change, err := u.options.Upstreams.Next(ctx)
 	u.intake.end(err == nil, u.options.Uptime())
 	u.listFailed = err != nil
-	if err == nil {
-		u.listedAt = time.Now()
-		u.heard = sent
+	if err != nil {
+		return change, err
+	}
+	u.listedAt = time.Now()
+	u.heard = sent
+	if change.Restored {
+		u.takeRestored()
 	}
-	return change, err
+	return change, nil
+}
+
+// takeRestored takes in that the store has come back from an older copy: what this host wrote since is gone there.
+func (s *Source) takeRestored() {
+	logrus.Info("fleet: The store has come back from an older copy. What hosts wrote is written again.")
+	s.written.clear()
+	s.restoredOnce()
 }
 
 // hand returns a change that the host above told, and whether there is one. That nothing has changed
