--- a/jackdawd/internal/membership/beliefs.go
+++ b/jackdawd/internal/membership/beliefs.go
@@ -110,7 +110,7 @@
 	}
 	lapsed := map[string]bool{}
 	for pool, n := range without {
-		lapsed[pool] = float64(n) >= lapsedShare*float64(known[pool])
+		lapsed[pool] = change.Restored || float64(n) >= lapsedShare*float64(known[pool])
 	}
 	return lapsed
 }
--- a/jackdawd/internal/membership/follow.go
+++ b/jackdawd/internal/membership/follow.go
@@ -96,6 +96,9 @@
 			}
 			logrus.Info("membership: The upstreams can be read again.")
 		}
+		if change.Restored {
+			returned = time.Now()
+		}
 		retry, answered = 0, time.Now()
 		giveUpAt := returned.Add(lapseGrace)
 		k.do(ctx, func(b *beliefs) { k.takeUpstreams(b, change, giveUpAt) })
--- a/jackdawd/internal/membership/keeper_test.go
+++ b/jackdawd/internal/membership/keeper_test.go
@@ -342,3 +342,21 @@
 		require.Equal(t, late, k.Late())
 	})
 }
+
+// The store comes back from an older copy, which lacks an upstream that has come since and shows one as ready that leaves. The
+// first would be without work for as long as its next entry takes, the second get work again.
+func TestRestoredListDoesNotReplaceWhatIsKnown(t *testing.T) {
+	keep(t, func(t *testing.T, k *Keeper, s *source, _ *atomic.Int64) {
+		entries := []traffic.UpstreamEntry{listed("old", 1, traffic.Ready), listed("leaves", 1, traffic.Ready), listed("older", 1, traffic.Ready)}
+		s.set(func(s *source) {
+			s.changes = []traffic.UpstreamChange{{Whole: true, Entries: entries}, {Entries: []traffic.UpstreamEntry{listed("new", 1, traffic.Ready), listed("leaves", 2, traffic.Leaving)}}}
+		})
+		time.Sleep(4 * time.Second)
+		require.Equal(t, []string{"new", "old", "older"}, ids(k.Snapshot().Upstreams("reader")))
+		s.set(func(s *source) { s.changes = []traffic.UpstreamChange{{Whole: true, Restored: true, Entries: entries}} })
+		time.Sleep(1600 * time.Millisecond)
+		require.Equal(t, []string{"new", "old", "older"}, ids(k.Snapshot().Upstreams("reader")))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []string{"old", "older"}, ids(k.Snapshot().Upstreams("reader")), "it did not write its entry again")
+	})
+}
