--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -158,6 +158,8 @@
 	// News of other kinds goes on at once.
 	c.gathers = reply.Exchange.Plan != nil && next == nil && len(reply.Listed) == 0 && len(reply.Entries) == 0
 	c.directory.Trust(parent.Name)
+	// The store is not away for all.
+	c.ownRead.failed = false
 	return next, reply.Behind - reply.Waited, nil
 }
 
--- a/jackdawd/internal/fleet/lag_test.go
+++ b/jackdawd/internal/fleet/lag_test.go
@@ -114,6 +114,25 @@
 	}
 }
 
+// The store is away for all for a while, and when it is back it rejects a third of the hosts: those below must not wait because
+// they found it away before.
+func TestConfigurationIsInForceInTimeAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHosts(t)
+		defer f.end()
+		f.size, f.inForce, f.drain = 90, 3*time.Second, 3*time.Second
+		f.startAll(true)
+		f.untilAllKnow()
+		time.Sleep(5 * time.Second)
+		f.store.setAway(true)
+		time.Sleep(3 * time.Second)
+		f.store.setAway(false)
+		time.Sleep(2 * time.Second)
+		longest, host := f.longestLag(trouble{30, strikes["rejected by the store"]})
+		require.Less(t, longest, f.inForce, host)
+	})
+}
+
 // longestLag lets hosts fail while the configuration changes, and returns the longest lag of all others.
 func (f *hosts) longestLag(t trouble) (longest time.Duration, host string) {
 	const (
