--- a/capacity/internal/plan/platform.go
+++ b/capacity/internal/plan/platform.go
@@ -29,11 +29,14 @@
 	// entryBytes is what an upstream writes of itself into the store, each entryEvery seconds.
 	entryBytes   = 250
 	entryEvery   = 1.2
-	readerReads  = 1 + 1.33 + 0.33
 	prompts      = 16384
 	upstreamNews = 0.25
 )
 
+// readerReads returns how many calls to the store a reader makes a second: reads of the configuration, which wait an
+// eighth of the operators' bound and one second at most, of the upstreams, and of notices.
+func (s size) readerReads() float64 { return math.Max(1, 8/s.inForce) + 1.33 + 0.33 }
+
 func (s size) readers() float64 { return readers * s.nodes / s.hostsPerRegion }
 
 // domainHosts is how many hosts a failure domain has: there are four, or three of today.
@@ -89,8 +92,8 @@
 		{"traffic", "where prompts are cached", "LRU of 16,384 prompts a node", megabytes, func(size) float64 { return prompts * m.perOne("warmth-bytes") }},
 		{"control", "hosts that read the store", "2 of each region", number, size.readers},
 		{"control", "steps from one to the last host", "a tree, 2 below each", number, size.steps},
-		{"control", "calls to the store, all hosts", "readers alone", number, func(s size) float64 { return s.readers() * readerReads }},
-		{"control", "calls to the store, if each host read it", "(not so)", number, func(s size) float64 { return s.nodes * readerReads }},
+		{"control", "calls to the store, all hosts", "readers alone", number, func(s size) float64 { return s.readers() * s.readerReads() }},
+		{"control", "calls to the store, if each host read it", "(not so)", number, func(s size) float64 { return s.nodes * s.readerReads() }},
 		{"control", "between two plans at a host", "by budget", seconds, func(s size) float64 { return 1 / s.plans() }},
 		{"host that none follows", "bytes, both ways, headers included", "net/rpc, what has changed", perSecond, m.below},
 		{"host that others follow", "bytes, both ways, headers included", "the same, three times", perSecond, m.above},
--- a/capacity/internal/plan/tables.go
+++ b/capacity/internal/plan/tables.go
@@ -47,12 +47,14 @@
 	name                                                       string
 	nodes, upstreams, hostsPerRegion, pools, workspaces, chats float64
 	requests, tokens, changes                                  float64
+	// inForce is within how many seconds a changed configuration must be in force.
+	inForce float64
 }
 
 var sizes = []size{
-	{"letters today", 9, 14, 9, 2, 10, 5e3, 50, 1.4e4, 20},
-	{"register today", 9, 23, 9, 2, 10, 5e3, 80, 2.3e4, 20},
-	{"target", 360, 880, 180, 23, 620, 1.8e6, 14000, 4e6, 2400},
+	{"letters today", 9, 14, 9, 2, 10, 5e3, 50, 1.4e4, 20, 2},
+	{"register today", 9, 23, 9, 2, 10, 5e3, 80, 2.3e4, 20, 2},
+	{"target", 360, 880, 180, 23, 620, 1.8e6, 14000, 4e6, 2400, 18},
 }
 
 // row is one line of the table: the mechanism that carries an item, and its figures at each size.
--- a/jackdawd/internal/fleet/lag_test.go
+++ b/jackdawd/internal/fleet/lag_test.go
@@ -98,6 +98,7 @@
 		for struck, heads := range fleet.heads {
 			for way, strike := range strikes {
 				t.Run(of+"/"+struck+" "+way, func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
 						f := newHosts(t)
 						defer f.end()
