--- a/common/peers/client_test.go
+++ b/common/peers/client_test.go
@@ -10,8 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A process that stands still reads nothing: once the window of its connection is full, writes to it do not return. A call must
-// end with its context all the same.
+// A call outlasts its context while the other side reads nothing.
 func TestCallEndsWhileNothingIsRead(t *testing.T) {
 	for name, reads := range map[string]int{"proof": 0, "request": len(Client{}.proof)} {
 		t.Run(name, func(t *testing.T) {
--- a/common/traffic/position_test.go
+++ b/common/traffic/position_test.go
@@ -6,8 +6,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The store comes back from an older copy and gives offsets out again. What is known since must not count as older than
-// what was known before.
+// What is known of a later era counts as older than what was known before.
 func TestPositionsOfALaterEraComeAfterAllOthers(t *testing.T) {
 	for name, test := range map[string]struct {
 		p, other LogPosition
--- a/jackdawd/internal/fleet/deadline_test.go
+++ b/jackdawd/internal/fleet/deadline_test.go
@@ -11,8 +11,7 @@
 	"jackdawhinge/common/traffic"
 )
 
-// A host above goes on telling of upstreams, and of no configuration. The one below must not go by what it tells for longer
-// than operators allow.
+// A host goes by an old configuration because the one above goes on telling of upstreams alone.
 func TestStoreIsAskedBeforeTheBoundIsPassed(t *testing.T) {
 	for name, test := range map[string]struct {
 		age  time.Duration
@@ -34,7 +33,7 @@
 	}
 }
 
-// The store is away for all. Where hundreds of hosts try it, each does so once.
+// Hundreds of hosts each look for a store that is away for all of them.
 func TestStoreThatIsAwayIsAskedOnceByACrowd(t *testing.T) {
 	for name, test := range map[string]struct {
 		hosts  int
@@ -63,7 +62,7 @@
 	}
 }
 
-// A host above is silent. The call to it ends before the store must be read.
+// A call to a silent host takes the time that is left to read the store.
 func TestCallsLeaveTimeForTheStore(t *testing.T) {
 	p := newPair(t)
 	require.Equal(t, longestCall, p.follower.callTime())
@@ -76,8 +75,7 @@
 	require.Equal(t, longestCall, p.follower.callTime(), "the store was asked before")
 }
 
-// Operators state a bound that hosts cannot keep by telling each other. A line names it, or nobody learns why
-// the store is called more often.
+// The store is called more often for a short bound, and nobody learns why.
 func TestShortBoundIsNamed(t *testing.T) {
 	for name, test := range map[string]struct {
 		inForce, drain time.Duration
@@ -116,8 +114,7 @@
 	return nil, w.failed
 }
 
-// A host that reads the store finds one stale host above after the other. It reads on at its own pace: without a pause
-// between reads, hosts that are replaced made thousands of calls.
+// A host that reads the store reads without a pause while it leaves one stale host above after the other.
 func TestStoreIsReadAtAPaceWhileHostsAreLeft(t *testing.T) {
 	for name, test := range map[string]struct {
 		age  time.Duration
@@ -139,8 +136,7 @@
 	}
 }
 
-// The store answers a reader's calls for the list, and none for the configuration. The reader follows the other one
-// rather than keep all below it behind.
+// A reader whose reads of the configuration alone fail keeps all hosts below it behind.
 func TestReaderWithoutAConfigurationFollowsTheOtherOne(t *testing.T) {
 	for name, test := range map[string]struct {
 		age        time.Duration
--- a/jackdawd/internal/fleet/directory_test.go
+++ b/jackdawd/internal/fleet/directory_test.go
@@ -167,8 +167,7 @@
 	require.NotContains(t, follower.All(), "old-0")
 }
 
-// The store comes back from an older copy without the notices of hosts that have come since. They live, and write again;
-// a host that forgot them meanwhile would tell those below that they are gone.
+// Hosts that an older copy of the board lacks are taken for gone.
 func TestHostsOutlastAnOlderCopyOfTheBoard(t *testing.T) {
 	d := directory(t, "entry-0", 4)
 	copied := map[string][]byte{"entry-0": notice(t, "entry-0", "a"), "entry-1": notice(t, "x", "a")}
--- a/jackdawd/internal/fleet/lag_test.go
+++ b/jackdawd/internal/fleet/lag_test.go
@@ -81,8 +81,7 @@
 	return longest, host
 }
 
-// Hosts at the top of the tree fail, or lose the store, while the configuration changes each 50 ms: those below them
-// that run and reach the store must not go on with an older one for longer than operators allow.
+// Hosts that run and reach the store go by an old configuration for too long, as hosts above them fail.
 func TestConfigurationIsInForceInTime(t *testing.T) {
 	for of, fleet := range map[string]struct {
 		size    int
@@ -115,8 +114,7 @@
 	}
 }
 
-// The store is away for all for a while, and when it is back it rejects a third of the hosts: those below must not wait because
-// they found it away before.
+// Hosts go by an old configuration because they found the store away a moment before.
 func TestConfigurationIsInForceInTimeAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newHosts(t)
--- a/jackdawd/internal/fleet/limits.go
+++ b/jackdawd/internal/fleet/limits.go
@@ -5,13 +5,10 @@
 )
 
 const (
-	// followWait is how long a follower's call waits for something new. A sound reader
-	// has read the upstreams again within 0.75 s, which is new, so that most calls end
-	// with it: 1.3 a second instead of the 2.7 of a wait of 0.5 s, and one that is silent is
-	// found out 0.2 s sooner, as a call has begun when the reader last read.
+	// followWait is how long a follower's call waits for something new. A sound reader reads the upstreams
+	// again within that time, which is new, so that most calls end with it.
 	followWait = 800 * time.Millisecond
-	// followTimeout is how long beyond that an answer may take. A host that is frozen
-	// or cut off is left after that, long before any bound is reached.
+	// followTimeout is how long beyond that an answer may take; a host that is frozen or cut off is left then.
 	followTimeout = 300 * time.Millisecond
 	// longestCall is how long a follower's call takes at most.
 	longestCall = followWait + followTimeout
@@ -26,10 +23,7 @@
 	// staleSlack is how much older than that a configuration may be, for what reads may take while
 	// the store is slow.
 	staleSlack = 300 * time.Millisecond
-	// listSlack is how much older than the time between two of its reads a reader's list
-	// of upstreams may be. An upstream may say that it leaves just after the last read; this,
-	// followTimeout and a read of the store come on top until a follower knows, 1.5 s
-	// altogether where 2 s are allowed.
+	// listSlack is how much older than the time between two of its reads a reader's list of upstreams may be.
 	listSlack = 400 * time.Millisecond
 	// lostListWait is how long a host that has lost the store at most leaves the list of upstreams unread there.
 	lostListWait = 4 * time.Second
@@ -38,14 +32,11 @@
 	usualInForce = 2 * time.Second
 	// neverListed stands for the age of what was never read.
 	neverListed = time.Hour
-	// largeFleet is from how many hosts on one that has just started does not read the
-	// upstreams from the store but waits for others to tell it. After a failure of power
-	// all start at once; 300 hosts that take 1 MB of 3,000 upstreams each get no answer
-	// in time for half a minute. A hundred hosts' reads take the store half a second at
-	// most, and callers wait for each tenth of it.
+	// largeFleet is from how many hosts on one that has just started does not read the upstreams from the
+	// store but waits for others to tell it: after a failure of power all start at once.
 	largeFleet = 100
-	// smallFleet is below how many hosts each looks for the store itself when the host above has
-	// lost it: 32 hosts then make 80 calls a second, of several hundred that the store takes.
+	// smallFleet is below how many hosts each looks for the store itself when the host above has lost it: their
+	// calls are few enough for the store.
 	smallFleet = 32
 	// startPatience is how long such a host goes on asking others that know nothing
 	// either, and startSpread how much longer at random.
@@ -57,10 +48,8 @@
 	mostParents = 3
 	// lostPause is the least time between two questions to a host that has lost the store.
 	lostPause = 300 * time.Millisecond
-	// lostMargin is how long before its list of upstreams is too old a host that waits for one above
-	// begins to ask other failure domains' first hosts for the store: all of them, then one each
-	// lostPause. It reads the store itself once one of them has it. With half of that hosts
-	// heard 20 ms too late of upstreams that left.
+	// lostMargin is how long before its list of upstreams is too old a host that waits for one above begins to
+	// ask other failure domains' first hosts for the store: all of them, then one each lostPause.
 	lostMargin = 4 * lostPause
 	// leastLost is for how long a host waits in any case for the one above to find the store.
 	leastLost = 100 * time.Millisecond
--- a/jackdawd/internal/fleet/restore_test.go
+++ b/jackdawd/internal/fleet/restore_test.go
@@ -10,9 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The store comes back from a copy without the notices of hosts that have come since, and without those of barred requests;
-// offsets are given out again. Hosts that start later must find all others, and a request that ends upstreams must stay
-// barred when all hosts start again. It happens twice.
+// Hosts and barred requests are forgotten when the store comes back from an older copy.
 func TestStoreComesBackFromAnOlderCopy(t *testing.T) {
 	for name, fleet := range map[string]struct {
 		size  int
--- a/jackdawd/internal/fleet/search.go
+++ b/jackdawd/internal/fleet/search.go
@@ -82,11 +82,9 @@
 	return others[a.asked%len(others):][:1]
 }
 
-// waitsFor reports whether a host waits for the one above, which answers but has lost the
-// store, instead of asking the store itself. It is up to the first hosts of the failure
-// domains to find a way to the store; when the store was away for eight seconds, 195 hosts
-// that each looked for one made 3,600 calls. If another failure domain's first host has
-// one, the host above is left.
+// waitsFor reports whether a host waits for the one above, which answers but has lost the store, instead of asking
+// the store itself. It is up to the first hosts of the failure domains to find a way to the store, so that a crowd does
+// not; if another failure domain's first host has one, the host above is left.
 func (c configurations) waitsFor(ctx context.Context, err error, away *absence) bool {
 	var stale *StaleError
 	if !errors.As(err, &stale) {
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	mathrand "math/rand/v2"
@@ -22,32 +21,12 @@
 )
 
 const (
-	// directoryEvery is how often a host that reads the store reads the list of hosts, of which
-	// it gets what has changed; directorySpread is how much later at random. The others are
-	// told with what they are told of upstreams.
-	directoryEvery  = 15 * time.Second
-	directorySpread = 1500 * time.Millisecond
-	// directoryTick is how often a host looks whether it is to read the list.
-	directoryTick = time.Second
-	// rereadEvery is how often at most a host reads the list for having left others, which
-	// may be because lists differ: hosts that follow each other in a circle leave each other
-	// within two seconds.
-	rereadEvery = 10 * time.Second
 	// gatherHosts is how long a host waits, when all start for the first time, for the others
 	// to write their notices before it reads the list: they start within 0.3 s of each other and
 	// write at once. It then knows all that there are, and need not read again.
 	gatherHosts = 800 * time.Millisecond
-	// restoredSpread is within which time hosts write their notices again when the store has come back from an
-	// older copy, restoredReread when they all have: they hear of it within some steps down the tree.
-	restoredSpread = 500 * time.Millisecond
-	restoredReread = 1500 * time.Millisecond
-	// announceEvery is how often a host writes its notice again, which another host may
-	// have removed that could not reach it.
-	announceEvery = 10 * time.Minute
-	// connectTimeout is how long a connection to another host of the region may take, fifty
-	// times as long as it usually does. A host that has no power yet does not answer, and
-	// the kernel asks again only after a second; when 195 hosts got their power back within
-	// 0.3 s, a quarter heard of the upstreams 0.9 s after the host that they follow.
+	// connectTimeout is how long a connection to another host of the region may take. A host that has no power yet
+	// does not answer, and the kernel asks again only after a second.
 	connectTimeout = 150 * time.Millisecond
 	// farewellTimeout is how long a stopping host tries to remove its notice.
 	farewellTimeout = 300 * time.Millisecond
@@ -363,92 +342,6 @@
 	return n
 }
 
-// followDirectory keeps the list of hosts and this host's notice on it until the context ends.
-func (s *Source) followDirectory(ctx context.Context) {
-	read, announced := time.Now(), time.Now()
-	era, spread := s.directory.Until().Era, mathrand.N(directorySpread)
-	for ctx.Err() == nil {
-		select {
-		case <-s.restored:
-			s.readRestored(ctx)
-		case <-time.After(directoryTick):
-		case <-ctx.Done():
-		}
-		if now := s.directory.Until().Era; now != era {
-			era, announced = now, time.Now()
-			pause.For(ctx, mathrand.N(restoredSpread))
-			s.announce(ctx)
-		}
-		if since := time.Since(announced); since > announceEvery || (since > rereadEvery && s.missed.Swap(false)) {
-			s.announce(ctx)
-			announced = time.Now()
-		}
-		if s.directoryDue(time.Since(read) - spread) {
-			read, spread = time.Now(), mathrand.N(directorySpread)
-			s.readDirectory(ctx)
-		}
-	}
-}
-
-// readRestored reads the list of hosts after the store has come back from an older copy, so that all hear of that, and
-// again when they have written their notices.
-func (s *Source) readRestored(ctx context.Context) {
-	if _, follows := s.parent(); follows {
-		return
-	}
-	s.readDirectory(ctx)
-	s.done.Go(func() {
-		pause.For(ctx, restoredReread)
-		s.readDirectory(ctx)
-	})
-}
-
-// restoredOnce wakes the one who keeps the list of hosts, as the store has come back from an older copy.
-func (s *Source) restoredOnce() {
-	select {
-	case s.restored <- struct{}{}:
-	default:
-	}
-}
-
-// directoryDue reports whether the list of hosts is to be read that was read some time ago.
-func (s *Source) directoryDue(ago time.Duration) bool {
-	_, follows := s.parent()
-	switch {
-	case s.directory.Until().IsZero():
-		// Nobody is known.
-		return ago > directoryTick
-	case s.reread.Load():
-		return ago > rereadEvery
-	default:
-		return !follows && ago > directoryEvery
-	}
-}
-
-// readDirectory reads the list of hosts from the store.
-func (s *Source) readDirectory(ctx context.Context) {
-	s.reread.Store(false)
-	notices, whole, until, err := s.options.Board.Next(ctx)
-	if err != nil {
-		// A failure shows in the reads of the configuration, and there it is told.
-		return
-	}
-	if s.directory.Take(notices, whole, until) {
-		s.missed.Store(true)
-	}
-}
-
-func (s *Source) announce(ctx context.Context) {
-	notice, err := json.Marshal(s.directory.Self().Notice)
-	if err != nil {
-		// Texts always encode.
-		panic(err)
-	}
-	if err := s.options.Board.Put(ctx, s.directory.Self().Name, notice); err != nil {
-		logrus.WithError(err).Warn("fleet: This host's notice was not written. It is tried again.")
-	}
-}
-
 // leave gives the host that was followed up for a while.
 func (s *Source) leave(ctx context.Context, parent Peer, took time.Duration, err error) {
 	logrus.WithError(err).WithFields(logrus.Fields{
--- a/jackdawd/internal/membership/keeper_test.go
+++ b/jackdawd/internal/membership/keeper_test.go
@@ -324,8 +324,7 @@
 	})
 }
 
-// The store is silent for longer than operators allow. What they read afterwards must say that
-// the host went on with a configuration that may have been too old, and for how long.
+// Nobody sees for how long a host went on with a configuration that may have been too old.
 func TestLateConfigurationIsCounted(t *testing.T) {
 	keep(t, func(t *testing.T, k *Keeper, s *source, _ *atomic.Int64) {
 		k.SetBounds(Bounds{Revoke: 5 * time.Second, InForce: 3500 * time.Millisecond, Drain: 2 * time.Second})
@@ -343,8 +342,7 @@
 	})
 }
 
-// The store comes back from an older copy, which lacks an upstream that has come since and shows one as ready that leaves. The
-// first would be without work for as long as its next entry takes, the second get work again.
+// An upstream that an older copy of the list lacks is dropped at once, or one that leaves becomes ready again.
 func TestRestoredListDoesNotReplaceWhatIsKnown(t *testing.T) {
 	keep(t, func(t *testing.T, k *Keeper, s *source, _ *atomic.Int64) {
 		entries := []traffic.UpstreamEntry{listed("old", 1, traffic.Ready), listed("leaves", 1, traffic.Ready), listed("older", 1, traffic.Ready)}
--- a/jackdawd/internal/quarantine/registry_test.go
+++ b/jackdawd/internal/quarantine/registry_test.go
@@ -68,8 +68,7 @@
 	}
 }
 
-// A request is sent to the next upstream as soon as one has ended under it. What each host saw reaches another one
-// through messages that take longer or shorter, so that one crash seems to end after the next one began: all three count.
+// A crash does not count as it was told later than the next one, and seems to overlap with it.
 func TestCrashesToldWithDifferentDelaysCount(t *testing.T) {
 	for name, delays := range map[string][3]time.Duration{
 		"none":            {},
--- a/standin/network/network_test.go
+++ b/standin/network/network_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A process is killed while another one connects to it: the connection ends, however the two meet.
+// A connection stays open whose process was killed while it was made.
 func TestConnectionToAKilledProcessEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := New()
