--- a/jackdawd/internal/quarantine/registry_test.go
+++ b/jackdawd/internal/quarantine/registry_test.go
@@ -48,6 +48,8 @@
 		"one, seen by three copies":            {crashes: []crashed{{0.9, 1, 1}, {1.1, 1.5, 1}, {1.5, 2, 1}}},
 		"a rack, all at one moment":            {crashes: []crashed{{0.2, 1, 1}, {0.9, 1.02, 2}, {0.3, 1.05, 3}, {0.4, 1.07, 4}}},
 		"a rack, and two more":                 {crashes: []crashed{{0.2, 1, 1}, {0.9, 1.02, 2}, {1.1, 1.5, 3}, {1.6, 2, 4}}, bars: true},
+		"a rack, requests just sent":           {crashes: []crashed{{0.95, 1, 1}, {0.96, 1.01, 2}, {0.97, 1.02, 3}}},
+		"long requests that overlap":           {crashes: []crashed{{0, 1, 1}, {0.8, 1.8, 2}, {1.6, 2.6, 3}}},
 		"answered between":                     {crashes: []crashed{{0.9, 1, 1}, {1.1, 1.5, 2}, {1.5, 2, 3}}, answeredAt: 1.7},
 		"answered before":                      {crashes: []crashed{{0.9, 1, 1}, {1.1, 1.5, 2}, {1.5, 2, 3}}, answeredAt: 0.5, bars: true},
 		"told late and in another order":       {crashes: []crashed{{1.5, 2, 3}, {0.9, 1, 1}, {1.1, 1.5, 2}}, bars: true},
