--- a/jackdawd/internal/fleet/board.go
+++ b/jackdawd/internal/fleet/board.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jackdawhinge/common/pause"
+	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/quarantine"
 )
 
@@ -26,11 +27,12 @@
 // QuarantineBoard is where the requests that are barred are written, for other regions and for hosts that
 // start when all others do.
 type QuarantineBoard interface {
-	// Put writes a request's notice, or removes it if there is none.
-	Put(ctx context.Context, request string, notice []byte) error
-	// Next returns the notices that have changed since the last call, nil where one was removed; it
-	// waits for one as long as wait says.
-	Next(ctx context.Context, wait time.Duration) (map[string][]byte, error)
+	// Put writes a request's notice, or removes it if there is none, and returns the position after it.
+	Put(ctx context.Context, request string, notice []byte) (traffic.LogPosition, error)
+	// Next returns the notices that have changed since the last call, nil where one was removed, and the
+	// position that they are of; whole is set if they are all that there are. It waits for a change as long
+	// as wait says.
+	Next(ctx context.Context, wait time.Duration) (notices map[string][]byte, whole bool, until traffic.LogPosition, err error)
 }
 
 // nextBoardRetry returns the pause after a failed call of the board that follows one with the pause given.
@@ -40,18 +42,49 @@
 
 // written is what is known to stand on the board.
 type written struct {
-	mu       sync.Mutex
-	requests map[string]bool
+	mu sync.Mutex
+	// until is how far the board was read, requests holds how far it is known that a notice stands there.
+	until    traffic.LogPosition
+	requests map[string]traffic.LogPosition
 }
 
-func (w *written) set(request string, there bool) {
+// put takes in that a notice was written, with the position after it, and reports whether it is known to have been
+// removed since.
+func (w *written) put(request string, at traffic.LogPosition) (removed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if there {
-		w.requests[request] = true
-		return
+	if w.until.Before(at) {
+		w.requests[request] = at
+		return false
 	}
-	delete(w.requests, request)
+	_, stands := w.requests[request]
+	return !stands && at.Era == w.until.Era
+}
+
+// read takes in notices that were read up to a position, and returns the requests whose notices were removed. A store
+// that has come back from an older copy lacks notices that nobody has removed.
+func (w *written) read(notices map[string][]byte, whole bool, until traffic.LogPosition) (removed []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.until = until
+	for request, at := range w.requests {
+		if _, listed := notices[request]; !whole || listed || until.Before(at) {
+			continue
+		}
+		delete(w.requests, request)
+		if at.Era == until.Era {
+			removed = append(removed, request)
+		}
+	}
+	for request, notice := range notices {
+		if notice == nil {
+			delete(w.requests, request)
+			removed = append(removed, request)
+			continue
+		}
+		w.requests[request] = until
+	}
+	return removed
 }
 
 // clear forgets what stands on the board.
@@ -64,7 +97,8 @@
 func (w *written) has(request string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.requests[request]
+	_, stands := w.requests[request]
+	return stands
 }
 
 // reads reports whether this host reads the store for its region and is answered.
@@ -85,7 +119,7 @@
 			pause.For(ctx, lookAgain)
 			continue
 		}
-		notices, err := s.options.QuarantineBoard.Next(ctx, boardWait)
+		notices, whole, until, err := s.options.QuarantineBoard.Next(ctx, boardWait)
 		if err != nil {
 			if ctx.Err() == nil {
 				logrus.WithError(err).Info("fleet: The notices of barred requests were not read. They are read again.")
@@ -95,19 +129,19 @@
 			continue
 		}
 		retry = 0
+		for _, request := range s.written.read(notices, whole, until) {
+			s.lift(time.Now(), request)
+		}
 		s.takeNotices(ctx, notices)
 	}
 }
 
-// takeNotices takes in notices from the board, and removes those that hold no longer. Operators lift a bar by
-// removing its notice.
+// takeNotices takes in notices from the board, and removes those that hold no longer.
 func (s *Source) takeNotices(ctx context.Context, notices map[string][]byte) {
 	now := time.Now()
 	var records []quarantine.Record
 	for request, notice := range notices {
-		s.written.set(request, notice != nil)
 		if notice == nil {
-			s.lift(now, request)
 			continue
 		}
 		r, err := quarantine.DecodeNotice(now, request, notice)
@@ -115,7 +149,7 @@
 		case err != nil:
 			logrus.WithError(err).Warn("fleet: A notice of a barred request was skipped.")
 		case r.Expired():
-			s.putNotice(ctx, request, nil)
+			s.removeNotice(ctx, request)
 		default:
 			records = append(records, r)
 		}
@@ -157,7 +191,7 @@
 	return all
 }
 
-// lift ends the bar of a request whose notice was removed.
+// lift ends the bar of a request whose notice was removed, as operators do to end it.
 func (s *Source) lift(now time.Time, request string) {
 	f, err := quarantine.ParseFingerprint(request)
 	if err != nil {
@@ -167,11 +201,22 @@
 	s.options.Quarantine.Answered(now, f)
 }
 
+// putNotice writes the notice of a request, and reports whether it was written.
 func (s *Source) putNotice(ctx context.Context, request string, notice []byte) bool {
-	if err := s.options.QuarantineBoard.Put(ctx, request, notice); err != nil {
+	at, err := s.options.QuarantineBoard.Put(ctx, request, notice)
+	if err != nil {
 		logrus.WithError(err).WithField("fingerprint", request).Info("fleet: The notice of a barred request was not written. It is tried again.")
 		return false
 	}
-	s.written.set(request, notice != nil)
+	if s.written.put(request, at) {
+		s.lift(time.Now(), request)
+	}
 	return true
 }
+
+// removeNotice removes the notice of a request; the reads that follow tell that it is gone.
+func (s *Source) removeNotice(ctx context.Context, request string) {
+	if _, err := s.options.QuarantineBoard.Put(ctx, request, nil); err != nil {
+		logrus.WithError(err).WithField("fingerprint", request).Info("fleet: The notice of a barred request was not removed.")
+	}
+}
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -180,7 +180,7 @@
 		patientUntil: time.Now().Add(startPatience + mathrand.N(startSpread)),
 		changes:      make(chan told, queuedChanges), left: make(chan struct{}, 1), restored: make(chan struct{}, 1), refreshed: newSignal(), planned: newSignal(), storeBack: newSignal(),
 	}
-	s.written.requests = map[string]bool{}
+	s.written.requests = map[string]traffic.LogPosition{}
 	s.intake.until, s.heard = neverHeard, neverHeard
 	s.listHeard.Store(int64(o.Uptime() - neverListed))
 	s.pace.Store(int64(usualPace))
