--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -185,14 +185,19 @@
 // serve sets up the HTTP servers. Every path belongs to callers, so that the
 // library's router, which would redirect some, is passed by.
 func (h *Host) serve(meter *telemetry.Meter) {
-	h.callers = newServer(h.options.Callers, h.handler)
-	h.callers.ConnState = h.idle.note
+	h.callers = newCallersServer(h.options.Callers, h.handler, h.idle)
 	h.ready = newServer(h.options.Readiness, http.HandlerFunc(h.answerReadiness))
 	if h.options.Inner != "" {
 		h.inner = newServer(h.options.Inner, h.adminHandler(meter.Handler()))
 	}
 }
 
+func newCallersServer(address string, handler http.Handler, idle *idleConns) *khttp.Server {
+	s := newServer(address, handler)
+	s.ConnState, s.ConnContext = idle.note, relay.WithConn
+	return s
+}
+
 func newServer(address string, handler http.Handler) *khttp.Server {
 	s := khttp.NewServer(khttp.Address(address), khttp.Timeout(0), khttp.Filter(func(http.Handler) http.Handler { return handler }))
 	s.ReadHeaderTimeout = headerTimeout
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -135,6 +135,10 @@
 		if upstream == nil {
 			break
 		}
+		if HasHungUp(ctx) {
+			last = result{verdict: callerLeft}
+			break
+		}
 		last = j.traced(ctx, upstream)
 		j.note(Step{Decision: Tried, Upstream: upstream.ID, Verdict: string(last.verdict), Err: last.err})
 		if !j.again(ctx, last) {
