--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -106,7 +106,7 @@
 		Protocol:       platform.Protocol{},
 		Configurations: platform.NewConfigurationFeed(store), Upstreams: platform.NewUpstreamFeed(store),
 		Peers: s.Peers, Strength: s.Strength, FirstStart: s.FirstStart, Board: platform.NewHostBoard(store), QuarantineBoard: platform.NewQuarantineBoard(store), Decode: platform.DecodeConfiguration,
-		Bounds: bounds(s.Bounds), MostBodies: int64(float64(s.Memory) * bodiesShare), Meter: meter, Usual: usual, Unusual: logrus.StandardLogger(),
+		Bounds: bounds(s.Bounds), Sockets: s.Sockets, MostBodies: int64(float64(s.Memory) * bodiesShare), Meter: meter, Usual: usual, Unusual: logrus.StandardLogger(),
 	})
 	if err != nil {
 		return err
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -73,7 +73,9 @@
 	Bounds Bounds
 	// MostBodies bounds the bytes of the bodies of all requests in progress.
 	MostBodies int64
-	Meter      *telemetry.Meter
+	// Sockets is how many sockets the process may open.
+	Sockets int
+	Meter   *telemetry.Meter
 	// Usual and Unusual take the lines on ordinary requests and on all others.
 	Usual   *logrus.Logger
 	Unusual *logrus.Logger
@@ -114,7 +116,7 @@
 
 // NewHost returns a host that has begun to read the configuration.
 func NewHost(o Options) (*Host, error) {
-	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), idle: newIdleConns(), failed: make(chan error, 1)}
+	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), idle: newIdleConns(mostCallers(o.Sockets)), failed: make(chan error, 1)}
 	h.bounds.Store(&o.Bounds)
 	h.balancer = placement.NewBalancer(h.loads, h.engines, h.loadMultiple)
 	h.source = fleet.NewSource(fleet.Options{
