--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -59,10 +59,15 @@
 // for the first time nobody waits for it yet.
 func (c configurations) first(ctx context.Context) (*traffic.Configuration, error) {
 	next, err := c.options.Configurations.Next(ctx, 0)
-	if next != nil {
-		c.version = next.Version()
+	if err != nil || next == nil {
+		return nil, err
 	}
-	return next, err
+	if err := c.await(ctx, c.joined); err != nil {
+		return nil, err
+	}
+	next = c.preferNewest(ctx, next)
+	c.version = next.Version()
+	return next, nil
 }
 
 // readStore reads the configuration from the store; left is set if the host that was
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -19,6 +19,7 @@
 	followCall   = serviceName + ".Follow"
 	exchangeCall = serviceName + ".Exchange"
 	ageCall      = serviceName + ".Age"
+	newestCall   = serviceName + ".Newest"
 	reportCall   = serviceName + ".Report"
 	casesCall    = serviceName + ".Cases"
 )
--- a/jackdawd/internal/fleet/restore_test.go
+++ b/jackdawd/internal/fleet/restore_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -53,6 +54,63 @@
 	}
 }
 
+// A host that starts while the store holds an older copy acts on a configuration that the others have replaced, and honors
+// keys that were taken away.
+func TestHostThatStartsPrefersWhatOthersKnow(t *testing.T) {
+	for name, test := range map[string]struct {
+		size int
+		// starts is the host that starts again, lost is how many of the others have just been lost.
+		starts, lost int
+	}{
+		"nine hosts": {9, 4, 0}, "ninety hosts": {90, 17, 0}, "one hundred and ninety-five hosts": {195, 17, 0},
+		"the first host": {90, firstHost, 0}, "a third is lost": {90, 17, 30},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHosts(t)
+				defer f.end()
+				f.size = test.size
+				f.startAll(true)
+				f.untilAllKnow()
+				time.Sleep(5 * time.Second)
+				f.store.write()
+				time.Sleep(f.inForce)
+				for n := range test.lost {
+					f.kill(fmt.Sprint("entry-", 3*n))
+				}
+				starts := test.starts
+				if starts == firstHost {
+					starts = f.firstHost()
+				}
+				f.kill(fmt.Sprint("entry-", starts))
+				f.store.takeBack()
+				f.store.restore(f.store.written())
+				f.start(starts, false)
+				p := f.running[fmt.Sprint("entry-", starts)]
+				for since := time.Now(); p.keeper.Snapshot().Configuration() == nil; time.Sleep(time.Millisecond) {
+					require.Less(t, time.Since(since), knownAlone)
+				}
+				require.EqualValues(t, firstVersion+1, p.keeper.Snapshot().Configuration().Version())
+			})
+		})
+	}
+}
+
+// firstHost stands for the host above all others.
+const firstHost = -1
+
+// firstHost returns the number of the host above all others.
+func (f *hosts) firstHost() int {
+	for n := range f.size {
+		if p, ok := f.running[fmt.Sprint("entry-", n)]; ok {
+			if _, follows := p.source.directory.LoadParent(time.Now()); !follows {
+				return n
+			}
+		}
+	}
+	return 0
+}
+
 // noticed returns the hosts of which notices stand on the board.
 func (f *hosts) noticed() []string {
 	f.store.mu.Lock()
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -397,6 +397,14 @@
 	return peers.NewClientOf(secret, dial)
 }
 
+// closeClient closes a client that was made for one call.
+func (s *Source) closeClient(c *peers.Client) {
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bytes += c.Bytes()
+}
+
 // dropClient forgets the client of a reader, which may never come back under its secret.
 func (s *Source) dropClient(p Peer) {
 	s.mu.Lock()
--- a/jackdawd/internal/fleet/start_test.go
+++ b/jackdawd/internal/fleet/start_test.go
@@ -95,6 +95,13 @@
 	s.notices, s.barred, s.trimmed = s.notices[:from], nil, 0
 }
 
+// takeBack brings back the first configuration, as an older copy holds it.
+func (s *countingStore) takeBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acknowledged = nil
+}
+
 // trim drops the history of the notices of barred requests; the newest of each is kept.
 func (s *countingStore) trim() {
 	s.mu.Lock()
--- a/jackdawd/internal/fleet/tree.go
+++ b/jackdawd/internal/fleet/tree.go
@@ -100,6 +100,20 @@
 	return d.shuffled(others)
 }
 
+// OneOfEach returns another host of each failure domain, others for each host that asks.
+func (d *Directory) OneOfEach(now time.Time) []Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var peers []Peer
+	for _, domain := range d.domains() {
+		others := slices.DeleteFunc(slices.Clone(d.ranked(now, domain)), func(p Peer) bool { return p.Name == d.self.Name })
+		if len(others) > 0 {
+			peers = append(peers, d.pick(others))
+		}
+	}
+	return peers
+}
+
 // LoadParent returns the host that this one exchanges loads with, or false if it is the
 // region's first host, where all loads come together.
 func (d *Directory) LoadParent(now time.Time) (Peer, bool) {
