--- a/common/report/report.go
+++ b/common/report/report.go
@@ -49,6 +49,8 @@
 	Ledger     Ledger           `json:"ledger"`
 	Classes    []Class          `json:"classes"`
 	Upstreams  []Upstream       `json:"upstreams"`
+	// StoreEra counts how often the platform's store has come back from an older copy, as this host knows; 0 without one.
+	StoreEra int64 `json:"store-era,omitempty"`
 	// Quarantined are the requests that are refused as upstreams have crashed under them.
 	Quarantined []Quarantined `json:"quarantined,omitempty"`
 }
--- a/jackdaw/internal/cmd/platform_script_test.go
+++ b/jackdaw/internal/cmd/platform_script_test.go
@@ -31,19 +31,20 @@
 		Dir:   filepath.Join("..", "..", "..", "platform", "testdata", "scripts"),
 		Setup: setUpPlatform,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"await":      await,
-			"await-line": awaitLine,
-			"call":       callOnce,
-			"call-until": callUntil,
-			"stream":     streamOnce,
-			"crowd":      crowd,
-			"order":      order,
-			"begin":      begin,
-			"end-stream": endStream,
-			"occupy":     occupy,
-			"release":    release,
-			"refused":    refused,
-			"find":       find,
+			"await":        await,
+			"await-line":   awaitLine,
+			"await-status": awaitStatus,
+			"call":         callOnce,
+			"call-until":   callUntil,
+			"stream":       streamOnce,
+			"crowd":        crowd,
+			"order":        order,
+			"begin":        begin,
+			"end-stream":   endStream,
+			"occupy":       occupy,
+			"release":      release,
+			"refused":      refused,
+			"find":         find,
 		},
 	})
 }
@@ -221,6 +222,25 @@
 	ts.Fatalf("%s never held %q", args[0], args[1])
 }
 
+// await-status SETTINGS TEXT waits until a host's status holds the text.
+func awaitStatus(ts *testscript.TestScript, _ bool, args []string) {
+	ticker := time.NewTicker(awaitEvery)
+	defer ticker.Stop()
+	var last string
+	for range awaitTimeout / awaitEvery {
+		var out bytes.Buffer
+		cmd := newStatusCmd(&config{path: ts.MkAbs(args[0])})
+		cmd.SetArgs([]string{})
+		cmd.SetOut(&out)
+		if cmd.Execute() == nil && strings.Contains(out.String(), args[1]) {
+			return
+		}
+		last = out.String()
+		<-ticker.C
+	}
+	ts.Fatalf("the status never held %q: %s", args[1], last)
+}
+
 // find VARIABLE FILE PATTERN sets a variable to what the pattern's group matches in a file.
 func find(ts *testscript.TestScript, _ bool, args []string) {
 	m := regexp.MustCompile(args[2]).FindStringSubmatch(ts.ReadFile(args[1]))
--- a/jackdaw/internal/cmd/statuscmd.go
+++ b/jackdaw/internal/cmd/statuscmd.go
@@ -37,6 +37,9 @@
 					status.Ledger.Followed, status.Ledger.Read, status.Ledger.Keys); err != nil {
 					return err
 				}
+				if err := printEra(w, status.StoreEra); err != nil {
+					return err
+				}
 				if err := printClasses(w, status.Classes); err != nil {
 					return err
 				}
@@ -105,6 +108,14 @@
 	return w.Flush()
 }
 
+func printEra(out io.Writer, era int64) error {
+	if era == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintf(out, "store: came back from an older copy %d times\n", era)
+	return err
+}
+
 func printQuarantined(out io.Writer, requests []report.Quarantined) error {
 	for _, r := range requests {
 		if _, err := fmt.Fprintf(out, "request %s is refused for %s: %d upstreams crashed under it\n", r.Fingerprint, time.Duration(r.Left), r.Crashes); err != nil {
--- a/jackdawd/internal/entry/admin.go
+++ b/jackdawd/internal/entry/admin.go
@@ -37,7 +37,7 @@
 
 func (h *Host) status() report.Status {
 	snapshot := h.keeper.Snapshot()
-	s := report.Status{Host: h.options.Name, Ready: h.keeper.Ready() && !h.stopping.Load(), ListAge: targets.Duration(h.keeper.Age().Round(time.Millisecond))}
+	s := report.Status{Host: h.options.Name, Ready: h.keeper.Ready() && !h.stopping.Load(), ListAge: targets.Duration(h.keeper.Age().Round(time.Millisecond)), StoreEra: h.source.StoreEra()}
 	if c := snapshot.Configuration(); c != nil {
 		s.Revision = c.Version()
 	}
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -31,6 +31,8 @@
 	m.Gauge("fleet_hosts", func() int64 {
 		return int64(h.hosts())
 	})
+	m.Gauge("store_era", h.source.StoreEra)
+	m.Gauge("store_restores", h.source.Restores)
 	m.Gauge("reads_store", func() int64 {
 		if h.source.Following() == "" {
 			return 1
--- a/jackdawd/internal/fleet/notices.go
+++ b/jackdawd/internal/fleet/notices.go
@@ -45,6 +45,7 @@
 		}
 		if now := s.directory.Until().Era; now != era {
 			era, announced = now, time.Now()
+			s.restores.Add(1)
 			pause.For(ctx, mathrand.N(restoredSpread))
 			s.announce(ctx)
 		}
@@ -72,6 +73,13 @@
 	})
 }
 
+// StoreEra returns how often the store has come back from an older copy, as far as this host knows.
+func (s *Source) StoreEra() int64 { return s.directory.Until().Era }
+
+// Restores returns how often this host has written its notices again since its start, as the store had come back from an
+// older copy.
+func (s *Source) Restores() int64 { return s.restores.Load() }
+
 // restoredOnce wakes the one who keeps the list of hosts, as the store has come back from an older copy.
 func (s *Source) restoredOnce() {
 	select {
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -160,6 +160,8 @@
 	// notice is not on it.
 	reread atomic.Bool
 	missed atomic.Bool
+	// restores counts the restores of the store after which this host wrote its notices again.
+	restores atomic.Int64
 	// restored holds a token when the store has come back from an older copy.
 	restored chan struct{}
 	cancel   context.CancelFunc
