--- a/soak/internal/plan/plan.go
+++ b/soak/internal/plan/plan.go
@@ -40,6 +40,7 @@
 	LoseStore     Kind = "lose-store"
 	FlapUpstream  Kind = "flap-upstream"
 	DropIdle      Kind = "drop-idle"
+	RestoreStore  Kind = "restore-store"
 )
 
 // kinds are all of them, in the order in which they are drawn.
@@ -77,6 +78,10 @@
 	// seriesShare is how many faults in a hundred come twice, one right after the other.
 	seriesShare = 25
 	targets     = 64
+	// restoredShare is how many plans in a hundred have the store come back from an older copy.
+	restoredShare = 50
+	// restoreStream is the random stream of these restores, which leaves the other faults of a seed as they were.
+	restoreStream = 1
 )
 
 // Draw returns the plan of a seed for a run of faults of a length.
@@ -98,6 +103,22 @@
 		}
 		at += time.Duration(random.Int64N(int64(2 * every)))
 	}
+	faults = append(faults, drawRestores(seed, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return slices.DeleteFunc(faults, func(f Fault) bool { return f.At >= length })
 }
+
+// drawRestores returns the restores of the store in the plan of a seed: none, one, or one right after the other.
+func drawRestores(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, restoreStream))
+	if length <= firstFault || random.IntN(100) >= restoredShare {
+		return nil
+	}
+	f := Fault{Kind: RestoreStore, At: firstFault + time.Duration(random.Int64N(int64(length-firstFault))), For: shortest}
+	faults := []Fault{f}
+	if random.IntN(100) < seriesShare {
+		f.At = f.End() + time.Duration(random.Int64N(int64(longest)))
+		faults = append(faults, f)
+	}
+	return slices.DeleteFunc(faults, func(f Fault) bool { return f.End() > length })
+}
--- a/soak/internal/rig/fleet.go
+++ b/soak/internal/rig/fleet.go
@@ -176,6 +176,8 @@
 	case plan.StoreForgets:
 		f.record.Disturb(-1, from, from)
 		f.store.ForgetAll()
+	case plan.RestoreStore:
+		f.restoreStore(fault.For)
 	case plan.StoreSlow:
 		f.record.Disturb(-1, from, to)
 		f.store.SetDelay(slowness)
@@ -203,6 +205,31 @@
 	}
 }
 
+const (
+	// copyAge is how old the copy is that the store comes back from.
+	copyAge = 2 * time.Second
+	// lapse is after which time the platform removes the entry of an upstream that writes nothing.
+	lapse = 3 * beatEvery
+)
+
+// restoreStore takes the store away and brings it back from an older copy; operators and upstreams write theirs again.
+func (f *Fleet) restoreStore(away time.Duration) {
+	from := time.Now()
+	f.store.SetFault(standin.Silent)
+	time.Sleep(away)
+	f.store.Restore(from.Add(-copyAge))
+	f.store.SetFault(standin.Sound)
+	f.operator.writeAgain()
+	for _, u := range f.services {
+		u.beat()
+	}
+	f.record.Disturb(-1, from, time.Now().Add(lapse))
+	time.Sleep(lapse)
+	for _, u := range f.services {
+		u.forgetPast()
+	}
+}
+
 var storeFaults = map[plan.Kind]standin.Fault{
 	plan.StoreFails: standin.Unavailable, plan.StoreLimits: standin.Limited, plan.StoreSilent: standin.Silent, plan.StoreTorn: standin.Torn,
 }
--- a/soak/internal/rig/operator.go
+++ b/soak/internal/rig/operator.go
@@ -70,9 +70,21 @@
 	return verdict.Change{At: time.Now(), Key: gone}
 }
 
-// write puts the configuration into the store; the lock must be held.
+// writeAgain puts the newest configuration into the store as it was.
+func (o *operator) writeAgain() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.put()
+}
+
+// write puts another configuration into the store; the lock must be held.
 func (o *operator) write() {
 	o.version++
+	o.put()
+}
+
+// put puts the configuration into the store; the lock must be held.
+func (o *operator) put() {
 	routes := []traffic.Route{
 		route("notice", traffic.NonIdempotent, "mailbox", 1), route("scan", traffic.Idempotent, "mailbox", 2),
 		stream("sort", 1), stream("digest", 2),
--- a/soak/internal/rig/upstream.go
+++ b/soak/internal/rig/upstream.go
@@ -91,6 +91,17 @@
 	u.store.PutEntry(u.id, u.runner.EntryOf(u.service, u.proxy.Address(), "a", u.state, u.beats))
 }
 
+// forgetPast removes the entries of incarnations that are gone, which an older copy of the store has brought back.
+func (u *Upstream) forgetPast() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, id := range u.ids {
+		if id != u.id || u.state == "" {
+			u.store.PutEntry(id, nil)
+		}
+	}
+}
+
 // Drain says that the upstream leaves, and returns which one.
 func (u *Upstream) Drain() string {
 	u.mu.Lock()
