--- a/jackdawd/internal/fleet/restore_test.go
+++ b/jackdawd/internal/fleet/restore_test.go
@@ -131,3 +131,42 @@
 	}
 	return fewest
 }
+
+// mostRestoreCalls is how many calls of the store a restore may cost each host: one write and two reads.
+const mostRestoreCalls = 3
+
+// All hosts that write and read at once cost the store its calls, and each other their bytes.
+func TestPriceOfARestore(t *testing.T) {
+	const settles = 5 * time.Second
+	for _, size := range []int{30, 100, 300} {
+		t.Run(fmt.Sprint(size, " hosts"), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newHosts(t)
+				defer f.end()
+				f.size = size
+				f.startAll(true)
+				f.untilAllKnow()
+				time.Sleep(settles)
+				price := func() (calls int, bytes int64) {
+					calls, bytes = f.store.count(), f.bytes()
+					time.Sleep(settles)
+					return f.store.count() - calls, f.bytes() - bytes
+				}
+				calls, bytes := price()
+				f.store.restore(f.store.written())
+				restored, told := price()
+				t.Logf("%.2f calls and %d bytes a host more than in calm", float64(restored-calls)/float64(size), (told-bytes)/int64(size))
+				require.LessOrEqual(t, restored-calls, mostRestoreCalls*size)
+			})
+		})
+	}
+}
+
+// bytes returns how many bytes the hosts have sent and got.
+func (f *hosts) bytes() (n int64) {
+	for _, p := range f.running {
+		n += p.source.Bytes()
+	}
+	return n
+}
