--- a/soak/internal/rig/fleet.go
+++ b/soak/internal/rig/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,6 +50,7 @@
 type Fleet struct {
 	seed     uint64
 	store    *standin.Store
+	restores atomic.Int64
 	server   *http.Server
 	operator *operator
 	hosts    []*Host
@@ -73,6 +75,10 @@
 	f.inject(plan.Draw(o.Seed, o.Faults), o.Faults)
 	f.record.FaultEnd = time.Now()
 	time.Sleep(calmTime)
+	for _, h := range f.hosts {
+		f.record.Known = append(f.record.Known, h.known())
+	}
+	f.record.Era = f.restores.Load()
 	cancel()
 	callers.Wait()
 	f.record.End = time.Now()
@@ -218,6 +224,7 @@
 	f.store.SetFault(standin.Silent)
 	time.Sleep(away)
 	f.store.Restore(from.Add(-copyAge))
+	f.restores.Add(1)
 	f.store.SetFault(standin.Sound)
 	f.operator.writeAgain()
 	for _, u := range f.services {
--- a/soak/internal/verdict/checks.go
+++ b/soak/internal/verdict/checks.go
@@ -45,7 +45,7 @@
 
 // Check returns the promises that a record breaks.
 func Check(r *Record) []Violation {
-	checks := []func(*Record) []Violation{wholeAnswers, atMostOnce, truthfulRefusals, retries, drained, inForce, neverBack, revoked, recovered, stoppedCleanly, bounded}
+	checks := []func(*Record) []Violation{wholeAnswers, atMostOnce, truthfulRefusals, retries, drained, inForce, neverBack, revoked, recovered, stoppedCleanly, bounded, acquainted}
 	var all []Violation
 	for _, check := range checks {
 		all = append(all, check(r)...)
@@ -258,3 +258,13 @@
 	}
 	return nil
 }
+
+// acquainted: after the last fault all hosts know each other and how often the store was restored.
+func acquainted(r *Record) (out []Violation) {
+	for n, known := range r.Known {
+		if known.Hosts != r.Hosts || known.Era != r.Era {
+			out = append(out, Violation{"hosts agree", fmt.Sprintf("host %d knows %d of %d hosts and %d of %d restores", n, known.Hosts, r.Hosts, known.Era, r.Era)})
+		}
+	}
+	return out
+}
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -72,6 +72,13 @@
 	Upstream string
 }
 
+// Known is what a host knows of the fleet and the store.
+type Known struct {
+	// Hosts is how many hosts it knows, itself included; Era how often the store came back from an older copy.
+	Hosts int
+	Era   int64
+}
+
 // A Record is everything that was seen in a run.
 type Record struct {
 	mu        sync.Mutex
@@ -87,6 +94,9 @@
 	FaultEnd time.Time
 	End      time.Time
 	Hosts    int
+	// Known is what each host said at the end, Era how often the store came back from an older copy.
+	Known []Known
+	Era   int64
 	// PoolUpstreams is how many upstreams each pool has while none is disturbed.
 	PoolUpstreams int
 }
