--- a/jackdawd/internal/fleet/directory.go
+++ b/jackdawd/internal/fleet/directory.go
@@ -62,6 +62,9 @@
 type entry struct {
 	notice *Notice
 	at     traffic.LogPosition
+	// unlisted is set if an older copy of the board lacks it. Hosts that know the copy alone must
+	// hear of it once it is written again.
+	unlisted bool
 }
 
 // A Directory is the hosts that are known here, as they stood on the board when this host
@@ -109,21 +112,35 @@
 	if until.Before(d.until) {
 		return d.missing()
 	}
-	if whole && until.Era == d.until.Era {
-		for name := range d.board {
-			if _, ok := decoded[name]; !ok {
-				decoded[name] = nil
-			}
-		}
+	if whole {
+		d.takeUnlisted(decoded, until.Era == d.until.Era)
 	}
 	for name, n := range decoded {
-		d.put(name, n, until)
+		if e := d.board[name]; e.unlisted || !same(e.notice, n) {
+			d.put(name, n, until)
+		}
 	}
 	d.until = until
 	d.changed()
 	return d.missing()
 }
 
+// takeUnlisted takes in that all notices lack some hosts: they were removed, unless the board is an older copy; the
+// lock must be held.
+func (d *Directory) takeUnlisted(all map[string]*Notice, removed bool) {
+	for name, e := range d.board {
+		if _, listed := all[name]; listed {
+			continue
+		}
+		if removed {
+			all[name] = nil
+			continue
+		}
+		e.unlisted = true
+		d.board[name] = e
+	}
+}
+
 // Learn takes in what another host knows of the board up to a position, if that is more than
 // this one does, and reports whether this host's own notice is missing there.
 func (d *Directory) Learn(entries []HostEntry, whole bool, until traffic.LogPosition) (missing bool) {
@@ -168,15 +185,16 @@
 // put takes in a host's notice, nil if it was removed; the lock must be held. What was removed
 // is remembered for hosts below that still know it.
 func (d *Directory) put(name string, n *Notice, at traffic.LogPosition) {
-	old := d.board[name].notice
-	if old == n || (old != nil && n != nil && *old == *n) {
-		return
+	if !same(d.board[name].notice, n) {
+		// Another process answers there now, or none.
+		delete(d.suspects, name)
 	}
-	// Another process answers there now, or none.
-	delete(d.suspects, name)
 	d.board[name] = entry{notice: n, at: at}
 }
 
+// same reports whether two notices, nil for none, are the same.
+func same(a, b *Notice) bool { return a == b || (a != nil && b != nil && *a == *b) }
+
 // forget drops the hosts that were removed longest ago if there are too many; the lock must be held.
 func (d *Directory) forget() {
 	var gone []string
--- a/jackdawd/internal/fleet/directory_test.go
+++ b/jackdawd/internal/fleet/directory_test.go
@@ -178,3 +178,23 @@
 	d.Take(copied, true, traffic.LogPosition{Era: 1, Offset: 2})
 	require.Equal(t, 2, d.Size(), "what a later list of the same era lacks is gone")
 }
+
+// A host starts from an older copy of the board, which lacks another host that all others know. It is not told of that one when it
+// writes its notice again, as nothing has changed for the others.
+func TestHostsThatACopyLackedAreToldAgain(t *testing.T) {
+	const others = 3
+	restored := func(offset int64) traffic.LogPosition { return traffic.LogPosition{Era: 1, Offset: offset} }
+	reader, between, started := directory(t, "entry-0", others), directory(t, "entry-1", others), NewDirectory(Peer{Name: "entry-3"})
+	copied := map[string][]byte{"entry-0": notice(t, "entry-0", "a")}
+	for _, d := range []*Directory{reader, started} {
+		d.Take(copied, true, restored(1))
+	}
+	between.Learn(reader.Since(between.Until()))
+	again := reader.All()["entry-2"]
+	text, err := json.Marshal(again)
+	require.NoError(t, err)
+	reader.Take(map[string][]byte{"entry-2": text}, false, restored(2))
+	between.Learn(reader.Since(between.Until()))
+	started.Learn(between.Since(started.Until()))
+	require.Contains(t, started.All(), "entry-2")
+}
