--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -14,6 +14,7 @@
 // registerGauges registers the values that are read when metrics are collected.
 func (h *Host) registerGauges(m *telemetry.Meter) {
 	m.Gauge("requests_in_progress", h.handler.InProgress)
+	m.Gauge("caller_connections", h.idle.count)
 	m.Gauge("upstream_connections_opened", h.client.Dialed)
 	m.Gauge("configuration_age_milliseconds", func() int64 { return min(h.keeper.Age(), time.Hour).Milliseconds() })
 	m.Gauge("upstream_list_age_milliseconds", func() int64 { return min(h.source.ListAge(), time.Hour).Milliseconds() })
--- a/jackdawd/internal/entry/idle.go
+++ b/jackdawd/internal/entry/idle.go
@@ -43,6 +43,13 @@
 	return &idleConns{most: most, idle: list.New(), at: map[net.Conn]*list.Element{}}
 }
 
+// count returns how many connections are open.
+func (i *idleConns) count() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return int64(i.open)
+}
+
 // note takes in a connection's state.
 func (i *idleConns) note(c net.Conn, state http.ConnState) {
 	i.mu.Lock()
