--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -24,9 +24,8 @@
 	// two of them, whose calls take 1.4 KB a second each with what they tell, a host keeps below
 	// 5 KB a second. Each plan of placement.MostPlanBytes goes to each follower.
 	planBudget = 700
-	// planCredit is for how long ahead a host may spend that. A plan that is drawn for a prompt which
-	// many ask for all at once follows 0.1 s after another one; without credit hosts
-	// heard of it 0.5 s later, when 90 of 600 requests had reached the prompt's one engine.
+	// planCredit is for how long ahead a host may spend that: a plan that is drawn for a prompt which
+	// many ask for all at once follows another one sooner than the budget alone allows.
 	planCredit = planEvery
 	// gatherStep is how long a host waits for the hosts below to tell it what is new before it
 	// tells the host above, for each step that there is below it. All of them call again
--- a/jackdawd/internal/fleet/spread_test.go
+++ b/jackdawd/internal/fleet/spread_test.go
@@ -448,11 +448,7 @@
 	}
 }
 
-// Ten times as many short requests come from one moment to the next, in one case while a third of the engines
-// is lost. Hosts placed them by what plans had said of engines some 0.3 s before, which is longer than such a
-// request takes: engines that were thought to have 8 requests had 46 where the mean was 18, everybody left them, and those
-// that they left them for had as many a moment later. Of 6,000 requests a second 370 to 590 reached
-// engines over the multiple in the first second, and not many fewer for as long as it lasted.
+// Short requests jump tenfold: plans are older than such a request takes, and hosts that all leave one engine meet at another.
 func TestShortRequestsJump(t *testing.T) {
 	for _, hosts := range []int{9, 30, 90, 195, 300} {
 		for name, lost := range map[string]float64{"": 0, ", a third of the engines lost": 1.0 / 3} {
@@ -474,11 +470,7 @@
 	}
 }
 
-// A surge of long prompts comes while engines are replaced one after the other, and goes. Engines got
-// up to 27 requests where the mean was 8 and hosts believed 0 to 5: of 720 requests a second 36 to 50
-// reached engines with more than twice the mean. The list of engines changed four times a second, and
-// hosts hear of it at different moments; a plan then named all engines and was so large that hosts were
-// told one each 1.5 s ("plan-age" 0.9 s in the median, 1.9 s for one in a hundred), whose loads had faded.
+// The list of engines changes, plans name all engines, and the budget holds them back until their loads have faded.
 func TestPlansReachHostsWhileEnginesAreReplaced(t *testing.T) {
 	for name, load := range map[string]replayLoad{
 		"after a surge": replayLoads["engines replaced after a surge"],
--- a/jackdawd/internal/placement/plan.go
+++ b/jackdawd/internal/placement/plan.go
@@ -14,13 +14,11 @@
 // come to them first, and which prompts need several engines. The region's first host draws it
 // from what all hosts know, and all hosts place by it.
 //
-// A host of a large fleet sees too little to keep the bound on loads by itself: of 300 hosts
-// each sees 2 of 600 requests a second, and hears once in half a minute from an engine.
-// (BenchmarkRequestsOverTheMultiple counts what reaches engines over twice the mean load by
-// what each knows itself, and by a plan.)
+// A host of a large fleet sees too little of the requests to keep the bound on loads by itself;
+// BenchmarkRequestsOverTheMultiple compares both.
 //
-// A plan names few engines, by hashes. One that held all by their places in the list was of no use
-// to hosts with another list, and one that named all was too large to be told twice a second.
+// A plan names few engines, by hashes: hosts may have other lists of engines, and a plan that named
+// all would be too large to be told twice a second.
 type Plan struct {
 	Pools   []PoolPlan
 	Prompts []PromptLoad
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -41,8 +41,7 @@
 
 // overloaded reports whether the upstream is known to be full, which explains that it is
 // silent. A request that went elsewhere then would lose its place in the queue and what
-// was read of its prompt, and find no shorter queue: in a burst of eight times the
-// traffic 501 of 7,700 requests ended with nothing, as their engines were just about to begin.
+// was read of its prompt, and find no shorter queue.
 func (j *job) overloaded(u *traffic.Upstream) bool {
 	return u.Slots > 0 && j.Loads.Estimate(time.Now(), u) >= fullShare*float64(u.Slots)
 }
