--- a/jackdawd/internal/fleet/newest.go
+++ b/jackdawd/internal/fleet/newest.go
@@ -42,7 +42,13 @@
 	others := c.directory.OneOfEach(time.Now())
 	answers, read := make(chan *traffic.Configuration, len(others)), newest.Version()
 	for _, other := range others {
-		go func() { answers <- c.askNewest(ctx, other, read) }()
+		go func() {
+			known, err := c.askNewest(ctx, other, read)
+			if err != nil {
+				logrus.WithError(err).WithField("peer", other.Name).Info("fleet: A host does not tell which configuration it knows.")
+			}
+			answers <- known
+		}()
 	}
 	for range others {
 		if known := <-answers; known != nil && known.Version() > newest.Version() {
@@ -56,26 +62,19 @@
 }
 
 // askNewest returns the configuration that another host knows, or nil if it knows none that is newer than the version given.
-func (c configurations) askNewest(ctx context.Context, other Peer, version int64) *traffic.Configuration {
+func (c configurations) askNewest(ctx context.Context, other Peer, version int64) (*traffic.Configuration, error) {
 	client := c.newClient(other.Secret)
 	defer c.closeClient(client)
 	var reply NewestReply
 	if err := client.Call(ctx, other.Address, newestCall, &NewestArgs{Version: version}, &reply); err != nil {
-		logrus.WithError(err).WithField("peer", other.Name).Debug("fleet: A host was not asked for its configuration.")
-		return nil
+		return nil, err
 	}
 	if len(reply.Document) == 0 {
-		return nil
+		return nil, nil
 	}
 	document, err := unpack(reply.Document)
 	if err != nil {
-		logrus.WithError(err).WithField("peer", other.Name).Warn("fleet: A host's configuration cannot be read.")
-		return nil
-	}
-	known, err := c.options.Decode(document)
-	if err != nil {
-		logrus.WithError(err).WithField("peer", other.Name).Warn("fleet: A host's configuration cannot be read.")
-		return nil
+		return nil, err
 	}
-	return known
+	return c.options.Decode(document)
 }
