--- a/jackdaw/internal/trace/story_test.go
+++ b/jackdaw/internal/trace/story_test.go
@@ -43,3 +43,32 @@
 	require.NoError(t, l.Read(strings.NewReader(logs)))
 	require.Empty(t, l.Story())
 }
+
+// The line that says why a request was refused is hidden by a later one on how old the configuration is.
+func TestStoryTellsWhyTheConfigurationIsOld(t *testing.T) {
+	const lost = `{"host":"h1","msg":"membership: The configuration cannot be read. The last one stays in force.","time":"2026-01-01T00:00:01Z"}
+{"host":"h1","msg":"membership: The configuration may be older than operators allow.","time":"2026-01-01T00:00:03Z"}
+`
+	const back = `{"host":"h1","msg":"membership: The configuration can be read again.","time":"2026-01-01T00:00:04Z"}
+{"host":"h1","msg":"membership: The configuration is known in time again.","time":"2026-01-01T00:00:04.1Z"}
+`
+	const refused = `{"host":"h1","msg":"relay: Refused.","request":"r1","time":"2026-01-01T00:00:06Z"}
+`
+	for name, test := range map[string]struct {
+		log  string
+		told []string
+	}{
+		"lost":          {lost + refused, []string{"cannot be read", "may be older"}},
+		"lost and back": {lost + back + refused, []string{"can be read again", "known in time again"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLog("r1")
+			require.NoError(t, l.Read(strings.NewReader(test.log)))
+			lines := l.Story()
+			require.Len(t, lines, len(test.told)+1)
+			for i, told := range test.told {
+				require.Contains(t, lines[i].Text(messageField), told)
+			}
+		})
+	}
+}
