--- a/jackdawd/internal/fleet/restore_test.go
+++ b/jackdawd/internal/fleet/restore_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/standin/network"
 )
 
 // Hosts and barred requests are forgotten when the store comes back from an older copy.
@@ -96,6 +98,24 @@
 	}
 }
 
+// All other hosts are frozen when a host starts: it would wait for what they know, and serve nobody.
+func TestHostStartsBesideFrozenOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHosts(t)
+		defer f.end()
+		f.size = 30
+		f.startAll(true)
+		f.untilAllKnow()
+		f.kill("entry-17")
+		for _, name := range f.names() {
+			f.silence(name, network.Frozen)
+		}
+		f.start(17, false)
+		time.Sleep(knownAlone)
+		require.NotNil(t, f.running["entry-17"].keeper.Snapshot().Configuration())
+	})
+}
+
 // The store turns hosts away just when all write their notices again: these are missing until the hosts are found to be
 // unknown, a quarter of a minute later.
 func TestNoticeThatWasTurnedAwayIsWrittenAgain(t *testing.T) {
