--- a/jackdawd/internal/fleet/board_test.go
+++ b/jackdawd/internal/fleet/board_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/quarantine"
 )
 
 // The answer of a write may come after a read that tells more: that the notice was removed, or that the store has come
@@ -35,3 +37,27 @@
 		})
 	}
 }
+
+// A notice that was written while all notices were read is taken for removed.
+func TestReadThatIsOlderThanAWrite(t *testing.T) {
+	w := written{requests: map[string]traffic.LogPosition{}}
+	require.False(t, w.put("07", traffic.LogPosition{Offset: 5}))
+	require.Empty(t, w.read(nil, true, traffic.LogPosition{Offset: 4}))
+	require.True(t, w.has("07"))
+	require.Equal(t, []string{"07"}, w.read(nil, true, traffic.LogPosition{Offset: 5}))
+}
+
+// An operator removes a notice before the host that wrote it has its answer, and the bar would stay.
+func TestBarIsLiftedBeforeItsWriteIsAnswered(t *testing.T) {
+	s := newPair(t).follower
+	now := time.Now()
+	var crashes []quarantine.CrashRecord
+	for n := range uint32(3) {
+		crashes = append(crashes, quarantine.CrashRecord{Start: n, Age: time.Duration(3-n) * time.Second})
+	}
+	s.options.Quarantine.Merge(now, []quarantine.Record{{Request: crashing, Crashes: crashes}})
+	require.Len(t, s.options.Quarantine.AllBarred(now), 1)
+	s.written.read(nil, true, traffic.LogPosition{Offset: 9})
+	require.True(t, s.putNotice(t.Context(), crashing.String(), []byte("notice")))
+	require.Empty(t, s.options.Quarantine.AllBarred(now))
+}
