--- a/jackdawd/internal/fleet/restore_test.go
+++ b/jackdawd/internal/fleet/restore_test.go
@@ -98,6 +98,23 @@
 	}
 }
 
+// A host starts while the store is away: it stays unknown to the others for ten seconds after the store is back, and more.
+func TestHostThatStartsWithoutTheStoreIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHosts(t)
+		defer f.end()
+		f.size = 9
+		f.startAll(true)
+		f.untilAllKnow()
+		f.store.setAway(true)
+		f.start(1000, false)
+		time.Sleep(2 * time.Second)
+		f.store.setAway(false)
+		time.Sleep(longestBoardRetry + longestBoardRetry/2)
+		require.Contains(t, f.noticed(), "entry-1000")
+	})
+}
+
 // All other hosts are frozen when a host starts: it would wait for what they know, and serve nobody.
 func TestHostStartsBesideFrozenOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -225,6 +225,7 @@
 	if err != nil {
 		// A failure shows in the reads of the configuration, and there it is told.
 		s.reread.Store(true)
+		s.announcement.ended(time.Now(), err)
 		return
 	}
 	if own := decodeNotices(map[string][]byte{s.options.Name: notices[s.options.Name]})[s.options.Name]; own != nil {
--- a/soak/internal/rig/fleet.go
+++ b/soak/internal/rig/fleet.go
@@ -75,10 +75,8 @@
 	f.inject(plan.Draw(o.Seed, o.Faults), o.Faults)
 	f.record.FaultEnd = time.Now()
 	time.Sleep(calmTime)
-	for _, h := range f.hosts {
-		f.record.Known = append(f.record.Known, h.known())
-	}
 	f.record.Era = f.restores.Load()
+	f.awaitAgreement()
 	cancel()
 	callers.Wait()
 	f.record.End = time.Now()
@@ -88,6 +86,20 @@
 	return f.record, nil
 }
 
+// awaitAgreement asks all hosts what they know until they agree, or have had the time to.
+func (f *Fleet) awaitAgreement() {
+	for {
+		f.record.Known = nil
+		for _, h := range f.hosts {
+			f.record.Known = append(f.record.Known, h.known())
+		}
+		if f.record.Agree() || time.Since(f.record.FaultEnd) > verdict.Acquaint {
+			return
+		}
+		time.Sleep(readyEvery)
+	}
+}
+
 func (f *Fleet) begin(o Options) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/soak/internal/verdict/checks.go
+++ b/soak/internal/verdict/checks.go
@@ -30,6 +30,9 @@
 	loadSlack    = 3
 	mostOver     = 20
 	overShare    = 0.03
+	// Acquaint is how long after the last fault hosts may take to know each other: one that started without the store
+	// tries again to write its notice within 4.5 s, and readers read the list of hosts each 16.5 s at most.
+	Acquaint = 24 * time.Second
 	// servedShare is the share that must then be served.
 	servedShare = 0.95
 )
@@ -262,7 +265,7 @@
 // acquainted: after the last fault all hosts know each other and how often the store was restored.
 func acquainted(r *Record) (out []Violation) {
 	for n, known := range r.Known {
-		if known.Hosts != r.Hosts || known.Era != r.Era {
+		if !r.agrees(known) {
 			out = append(out, Violation{"hosts agree", fmt.Sprintf("host %d knows %d of %d hosts and %d of %d restores", n, known.Hosts, r.Hosts, known.Era, r.Era)})
 		}
 	}
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -154,3 +155,10 @@
 	}
 	return true
 }
+
+// Agree reports whether all hosts know all hosts and how often the store was restored.
+func (r *Record) Agree() bool {
+	return !slices.ContainsFunc(r.Known, func(k Known) bool { return !r.agrees(k) })
+}
+
+func (r *Record) agrees(k Known) bool { return k.Hosts == r.Hosts && k.Era == r.Era }
