--- a/common/traffic/request.go
+++ b/common/traffic/request.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// SharedTokens returns how long the part of the prompt is that other requests may share, in tokens.
+func (r *Request) SharedTokens() int {
+	tokens := 0
+	for _, part := range r.Prompt[:max(len(r.Prompt)-1, min(len(r.Prompt), 1))] {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // A Hop is what a host adds to a request that it passes on to an upstream.
 type Hop struct {
 	// Upstream is the incarnation that alone may execute the request.
--- a/jackdawd/internal/entry/admin.go
+++ b/jackdawd/internal/entry/admin.go
@@ -66,7 +66,7 @@
 	out := make([]report.Upstream, len(upstreams))
 	for i, u := range upstreams {
 		out[i] = report.Upstream{
-			Name: u.ID, Model: pool, FailureDomain: u.FailureDomain, Load: int64(loads[i]), Known: true, Mean: mean, Limit: int64(u.Slots),
+			Name: u.ID, Model: pool, FailureDomain: u.FailureDomain, Load: int64(loads[i].Requests()), Known: true, Mean: mean, Limit: int64(u.Slots),
 		}
 	}
 	return out
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -67,12 +67,12 @@
 	return sizes
 }
 
-// poolBounds returns how many requests an upstream of each pool may have for one with a prompt to be placed there.
+// poolBounds returns how many requests an upstream of each pool may have.
 func (h *Host) poolBounds() map[string]int64 {
 	bounds := map[string]int64{}
 	for name, pool := range h.keeper.Snapshot().Pools() {
-		choice := placement.Choice{Loads: h.loads.All(time.Now(), pool), Multiple: h.bounds.Load().LoadMultiple, Hosts: h.hosts()}
-		bounds[name] = int64(choice.Bound())
+		choice := placement.Choice{Loads: h.loads.All(time.Now(), pool), Multiple: h.bounds.Load().LoadMultiple}
+		bounds[name] = int64(choice.Limit())
 	}
 	return bounds
 }
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -11,30 +11,22 @@
 )
 
 const (
-	// boundShare is the part of the load multiple that a host of a large fleet places up to. The rest
-	// covers what other hosts place until the next plan.
-	boundShare = 0.35
-	// fewShare is that part in a fleet of fewHosts, each of which sees an eighth of all requests itself.
-	// With the narrower bound prompts leave their engines for nothing, to be read elsewhere: in three
-	// plays of high load 18 engines read 3.5 million tokens of shared prompts again, 2.9 million with this one.
-	fewShare = 0.85
+	// fewHosts is up to how many hosts each sees enough of all requests itself.
 	fewHosts = 8
-	// boundSlack is how many requests above that are always allowed: with few
-	// requests on each engine a multiple of the mean is less than one more.
-	boundSlack = 2.5
 	// outpacedReplicas is how many more engines a prompt has in a large fleet while what hosts tell each other is
 	// outpaced: with four, the loads of engines that a few hundred prompts make differ by half as much.
 	outpacedReplicas = 3
-	// farCost is what an upstream in another failure domain costs a request to a
-	// plain service, in requests waiting there.
-	farCost = 1.5
+	// longPrompt is from how many tokens a prompt is too long for that: it would hold up the crowd at each of them.
+	longPrompt = 8000
 )
 
 // A Choice is what a request is placed by.
 type Choice struct {
-	// Upstreams are those that may take the request, and Loads what each is thought to have.
+	// Upstreams are those that may take the request, and Loads what is known of each one's requests.
 	Upstreams []*traffic.Upstream
-	Loads     []float64
+	Loads     []Load
+	// Lasts is how long requests in progress usually last.
+	Lasts time.Duration
 	// Delay returns how long the request would wait at an upstream, and Patience is how long it
 	// may; an upstream where it would wait longer is full. It is asked of few, and nil if no
 	// upstream is ever full.
@@ -46,6 +38,9 @@
 	// Key is the hash of the prompt that the request shares with others; Cached is set if it has one.
 	Key    uint64
 	Cached bool
+	// SharedTokens is how long that prompt is, and Takes how long such requests usually take; 0 if that is not known.
+	SharedTokens int
+	Takes        time.Duration
 	// FailureDomain is this host's own.
 	FailureDomain string
 	// Hosts is how many hosts place requests; 0 if that is not known.
@@ -89,7 +84,7 @@
 		return c.lightest()
 	case second >= 0 && c.stuck(first) && !c.stuck(second):
 		return c.Upstreams[second]
-	case second >= 0 && c.Loads[second] < unevenShare*c.Loads[first] && c.Full(c.Upstreams[first]) && !c.Full(c.Upstreams[second]):
+	case second >= 0 && c.Loads[second].Requests() < unevenShare*c.Loads[first].Requests() && c.Full(c.Upstreams[first]) && !c.Full(c.Upstreams[second]):
 		return c.Upstreams[second]
 	}
 	return c.Upstreams[first]
@@ -115,7 +110,7 @@
 // and are not far above the mean, most at the most. All take it if none else does, or if it
 // is hot: it would else go to and fro as a whole when a weight changes that it is the cause of.
 func (c Choice) order(most int, hot bool) []int {
-	bound := c.Bound()
+	limit := c.Limit()
 	order, scores := make([]int, 0, most), make([]uint64, 0, most)
 	spread := c.Spread
 	if hot {
@@ -123,11 +118,8 @@
 	}
 	for {
 		for i, u := range c.Upstreams {
-			if c.Loads[i]+1 > bound {
-				continue
-			}
 			score := routing.Score(c.Key, u.Hash)
-			if (len(order) == most && score <= scores[most-1]) || !spread.takes(score, u) {
+			if (len(order) == most && score <= scores[most-1]) || !spread.takes(score, u, c.expense()) || !c.accepts(limit, i) {
 				continue
 			}
 			if len(order) < most {
@@ -147,15 +139,18 @@
 }
 
 // replicas returns at how many engines the prompt's requests are served. What is told of loads is no guide while it is
-// outpaced; all prompts are then spread over more engines, which evens loads out without it.
+// outpaced; all prompts but long ones are then spread over more engines, which evens loads out without it.
 func (c Choice) replicas() int {
 	replicas := c.Spread.replicas(c.Key, c.Pool)
 	if !c.Outpaced {
 		return replicas
 	}
-	return max(replicas, 1+int(math.Round(outpacedReplicas*c.distance())))
+	return max(replicas, 1+int(math.Round(outpacedReplicas*c.distance()*(1-c.length()))))
 }
 
+// length says how long the prompt is, from 0 to 1.
+func (c Choice) length() float64 { return min(float64(c.SharedTokens)/longPrompt, 1) }
+
 // distance says how little the host sees of all requests by itself: 0 in a small fleet, up to 1.
 func (c Choice) distance() float64 {
 	if c.Hosts == 0 {
@@ -195,47 +190,16 @@
 	return order
 }
 
-// Bound returns how many requests an upstream may have for one with a prompt to be placed there.
-func (c Choice) Bound() float64 {
-	bound := c.Multiple*c.share()*c.Mean() + boundSlack
-	if c.Outpaced {
-		bound *= 1 + c.distance()
-	}
-	return bound
-}
-
-// share returns the part of the load multiple that the host places up to: the less of the
-// load others place, the more.
-func (c Choice) share() float64 {
-	return boundShare + (fewShare-boundShare)*(1-c.distance())
-}
-
-// Mean returns the mean load of the upstreams, by what the host knows or by the plan, where
-// that is more: upstreams that the host knows nothing of count as idle.
+// Mean returns the mean load of the upstreams. While plans tell of all of them, each counts by its newest news;
+// without a plan upstreams that the host knows nothing of count as idle.
 func (c Choice) Mean() float64 {
 	sum := 0.0
 	for _, l := range c.Loads {
-		sum += l
-	}
-	return max(sum/float64(max(len(c.Loads), 1)), c.Spread.mean(c.Pool))
-}
-
-// lightest returns the upstream with the least load; one nearby is preferred, and one that is
-// full is taken only if all are.
-func (c Choice) lightest() *traffic.Upstream {
-	var best *traffic.Upstream
-	var bestCost float64
-	var bestTie uint64
-	bestFull := true
-	for i, u := range c.Upstreams {
-		cost := c.Loads[i]
-		if u.FailureDomain != c.FailureDomain {
-			cost += farCost
-		}
-		tie := routing.Score(c.Tie, u.Hash)
-		if full := c.Full(u); best == nil || (bestFull && !full) || (full == bestFull && (cost < bestCost || (cost == bestCost && tie > bestTie))) {
-			best, bestCost, bestTie, bestFull = u, cost, tie, full
+		if c.Spread == nil {
+			sum += l.Requests()
+			continue
 		}
+		sum += l.Own + l.Others
 	}
-	return best
+	return sum / float64(max(len(c.Loads), 1))
 }
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -54,7 +54,7 @@
 // left returns how much of what was told still holds: after an answer's time those requests
 // have ended, and without fading an upstream that was once full would never be tried again.
 func (r report) left(now time.Time) float64 {
-	return max(1-float64(now.Sub(r.at))/float64(toldLifetime), 0)
+	return remembered(now.Sub(r.at))
 }
 
 // NewLoads returns loads of nothing.
@@ -128,27 +128,27 @@
 func (l *Loads) Estimate(now time.Time, u *traffic.Upstream) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.estimate(now, u)
+	return l.known(now, u).Requests()
 }
 
-// All returns the estimates of several upstreams.
-func (l *Loads) All(now time.Time, upstreams []*traffic.Upstream) []float64 {
+// All returns what is known of several upstreams.
+func (l *Loads) All(now time.Time, upstreams []*traffic.Upstream) []Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]float64, len(upstreams))
+	out := make([]Load, len(upstreams))
 	for i, u := range upstreams {
-		out[i] = l.estimate(now, u)
+		out[i] = l.known(now, u)
 	}
 	return out
 }
 
-func (l *Loads) estimate(now time.Time, u *traffic.Upstream) float64 {
+func (l *Loads) known(now time.Time, u *traffic.Upstream) Load {
 	e, ok := l.byHash[u.ShortHash()]
 	if !ok {
-		return 0
+		return Load{}
 	}
 	r := e.newest()
-	return float64(e.own) + r.others*r.left(now)
+	return Load{Own: float64(e.own), Others: r.others, Age: now.Sub(r.at)}
 }
 
 // A Backlog is what an upstream has to do before it begins with the next request.
--- a/jackdawd/internal/placement/spread.go
+++ b/jackdawd/internal/placement/spread.go
@@ -14,6 +14,9 @@
 	// mostReplicas bounds the engines of one prompt: with more, reading it everywhere would
 	// take longer than what they share.
 	mostReplicas = 64
+	// dearTaken is the part of the prompts that an engine does not take by its weight of which it takes the
+	// dearest all the same.
+	dearTaken = 0.75
 )
 
 // A Spread is a plan as one host places by it. The zero value and nil spread nothing.
@@ -36,15 +39,16 @@
 	return now.Sub(s.drawnAt), true
 }
 
-// takes reports whether an engine takes a prompt that has the score given there. The lowest
-// bits of the score decide, which say nothing of the engine's place in the prompt's order:
+// takes reports whether an engine takes a prompt that has the score given there; expense, from 0 to 1, says how
+// dear it is to read it elsewhere. The lowest bits of the score decide, which say nothing of the engine's place in the prompt's order:
 // a change of weight moves no more prompts than it must.
-func (s *Spread) takes(score uint64, u *traffic.Upstream) bool {
+func (s *Spread) takes(score uint64, u *traffic.Upstream, expense float64) bool {
 	if s == nil {
 		return true
 	}
 	weight, limited := s.weights[u.ShortHash()]
-	return !limited || uint8(score) < weight
+	notTaken := (1 - expense*dearTaken) * float64(fullWeight-weight)
+	return !limited || float64(uint8(score)) < fullWeight-notTaken
 }
 
 // mean returns the mean load of a pool, 0 if it is not known.
--- a/jackdawd/internal/placement/turnover.go
+++ b/jackdawd/internal/placement/turnover.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 const (
@@ -19,6 +21,10 @@
 	// taken for before any has ended.
 	lastsOver    = 8
 	usuallyLasts = time.Second
+	// inProgressOver is over how many requests the time is averaged that those in progress take.
+	inProgressOver = 32
+	// rememberedClasses bounds the classes of which is known how long answers take.
+	rememberedClasses = 1024
 )
 
 // Turnovers watches, pool by pool, how fast requests come and how long they take at this host.
@@ -29,10 +35,16 @@
 type Turnovers struct {
 	mu    sync.Mutex
 	pools map[string]*turnover
+	// classes has how long answers take on average.
+	classes *lru.Cache[string, time.Duration]
 }
 
 // NewTurnovers returns turnovers of no pool.
-func NewTurnovers() *Turnovers { return &Turnovers{pools: map[string]*turnover{}} }
+func NewTurnovers() *Turnovers {
+	// The size is a positive constant, for which there is no error.
+	classes, _ := lru.New[string, time.Duration](rememberedClasses)
+	return &Turnovers{pools: map[string]*turnover{}, classes: classes}
+}
 
 // Began takes in that a request was sent to a pool.
 func (t *Turnovers) Began(now time.Time, pool string) {
@@ -41,12 +53,40 @@
 	t.of(now, pool).began(now)
 }
 
-// Ended takes in how long an answer of a pool took.
-func (t *Turnovers) Ended(now time.Time, pool string, took time.Duration) {
+// Ended takes in how long an answer of a pool took to a class of requests.
+func (t *Turnovers) Ended(now time.Time, pool, class string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.of(now, pool)
 	p.lasts += (took - p.lasts) / lastsOver
+	p.square += (took.Seconds()*took.Seconds() - p.square) / inProgressOver
+	p.mean += (took.Seconds() - p.mean) / inProgressOver
+	if before, ok := t.classes.Get(class); ok {
+		took = before + (took-before)/inProgressOver
+	}
+	t.classes.Add(class, took)
+}
+
+// Usually returns how long an answer to a class of requests takes on average.
+func (t *Turnovers) Usually(class string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if took, ok := t.classes.Get(class); ok {
+		return took
+	}
+	return usuallyLasts
+}
+
+// InProgress returns how long requests in progress usually last: longer than all on average, as the longer
+// ones are more often in progress.
+func (t *Turnovers) InProgress(now time.Time, pool string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.of(now, pool)
+	if p.mean <= 0 {
+		return 0
+	}
+	return time.Duration(p.square / p.mean * float64(time.Second))
 }
 
 // Outpaced reports whether requests of a pool come or end faster than hosts can tell each other of them.
@@ -60,7 +100,8 @@
 func (t *Turnovers) of(now time.Time, pool string) *turnover {
 	p, ok := t.pools[pool]
 	if !ok {
-		p = &turnover{since: now, ratedAt: now, lasts: usuallyLasts}
+		usually := usuallyLasts.Seconds()
+		p = &turnover{since: now, ratedAt: now, lasts: usuallyLasts, mean: usually, square: usually * usually}
 		t.pools[pool] = p
 	}
 	return p
@@ -75,6 +116,8 @@
 	since, ratedAt time.Time
 	// lasts is how long requests take on average.
 	lasts time.Duration
+	// mean and square are the averages of that in seconds and of its square, over more of them.
+	mean, square float64
 }
 
 func (t *turnover) began(now time.Time) {
--- a/jackdawd/internal/relay/try.go
+++ b/jackdawd/internal/relay/try.go
@@ -67,7 +67,7 @@
 		now := time.Now()
 		j.Loads.End(now, u)
 		if whole {
-			j.Turnovers.Ended(now, j.pool.Name, now.Sub(j.triedAt))
+			j.Turnovers.Ended(now, j.pool.Name, j.route.Name, now.Sub(j.triedAt))
 		}
 		if j.cached {
 			j.Balancer.End(j.key)
