--- a/jackdawd/internal/placement/lightest.go
+++ b/jackdawd/internal/placement/lightest.go
@@ -1,29 +1,73 @@
 package placement
 
 import (
+	"math"
+	"slices"
+
 	"jackdawhinge/common/traffic"
-	"jackdawhinge/jackdawd/internal/routing"
 )
 
 // farCost is what an upstream in another failure domain costs a request to a plain service, in requests there.
 const farCost = 1.5
 
-// lightest returns the upstream with the least load; one nearby is preferred, and one that is
-// full is taken only if all are.
+// lightest returns one of the upstreams with the least load; one that is full is taken only if all are.
+//
+// It is drawn by the shares that level the loads out until the next news: the least one while the news is
+// fresh, all alike once none of it holds any more. If each host took the least one by old news, all would meet there.
 func (c Choice) lightest() *traffic.Upstream {
-	var best *traffic.Upstream
-	var bestCost float64
-	var bestTie uint64
-	bestFull := true
+	open := c.open()
+	costs, come := make([]float64, len(open)), 1.0
+	for n, i := range open {
+		stay, came := c.Loads[i].witnessed(c.Hosts).since(c.Lasts)
+		costs[n] = c.Loads[i].Own + stay
+		if c.Upstreams[i].FailureDomain != c.FailureDomain {
+			costs[n] += farCost
+		}
+		come += came
+	}
+	return c.Upstreams[c.byShare(open, costs, levelOf(costs, come))]
+}
+
+// open returns the indexes of the upstreams that are not full, or of all if all are.
+func (c Choice) open() []int {
+	var open, all []int
 	for i, u := range c.Upstreams {
-		cost := c.Loads[i].Requests()
-		if u.FailureDomain != c.FailureDomain {
-			cost += farCost
+		all = append(all, i)
+		if !c.Full(u) {
+			open = append(open, i)
+		}
+	}
+	if len(open) == 0 {
+		return all
+	}
+	return open
+}
+
+// byShare draws one of some upstreams by how far their costs are below a level.
+func (c Choice) byShare(open []int, costs []float64, level float64) int {
+	best, bestKey := open[0], -1.0
+	for n, i := range open {
+		share := level - costs[n]
+		if share <= 0 {
+			continue
 		}
-		tie := routing.Score(c.Tie, u.Hash)
-		if full := c.Full(u); best == nil || (bestFull && !full) || (full == bestFull && (cost < bestCost || (cost == bestCost && tie > bestTie))) {
-			best, bestCost, bestTie, bestFull = u, cost, tie, full
+		// Of numbers u^(1/share) with u drawn evenly the largest is each one's as often as its share says.
+		if key := math.Pow(c.draw(i), 1/share); key > bestKey {
+			best, bestKey = i, key
 		}
 	}
 	return best
 }
+
+// levelOf returns the level up to which an amount fills several heights.
+func levelOf(heights []float64, amount float64) float64 {
+	sorted := slices.Sorted(slices.Values(heights))
+	sum := 0.0
+	for n, height := range sorted {
+		if n > 0 && height*float64(n)-sum >= amount {
+			return (sum + amount) / float64(n)
+		}
+		sum += height
+	}
+	return (sum + amount) / float64(len(sorted))
+}
