--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -126,9 +126,14 @@
 
 // Estimate returns how many requests an upstream is thought to have.
 func (l *Loads) Estimate(now time.Time, u *traffic.Upstream) float64 {
+	return l.Known(now, u).Requests()
+}
+
+// Known returns what is known of an upstream.
+func (l *Loads) Known(now time.Time, u *traffic.Upstream) Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.known(now, u).Requests()
+	return l.known(now, u)
 }
 
 // All returns what is known of several upstreams.
--- a/jackdawd/internal/relay/journal.go
+++ b/jackdawd/internal/relay/journal.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jackdawhinge/jackdawd/internal/placement"
 	"jackdawhinge/jackdawd/internal/quarantine"
 	"jackdawhinge/jackdawd/internal/work"
 )
@@ -42,9 +43,10 @@
 	// Candidates and Avoided count the upstreams that were to be had and those that evidence speaks against.
 	Candidates int
 	Avoided    int
-	// Load is what the chosen upstream was thought to have, Mean what its pool has.
-	Load float64
-	Mean float64
+	// Load is what was known of the chosen upstream, Mean what its pool has, Limit what it may have for one more.
+	Load  placement.Load
+	Mean  float64
+	Limit float64
 	// PlanAge is how long ago the plan was drawn that the request was placed by; Planned is set if there was one.
 	PlanAge time.Duration
 	Planned bool
@@ -73,14 +75,16 @@
 	Kind        string
 	Workspace   string
 	Pool        string
-	// Version is the configuration that the request was checked against, and Age how long before that it had been confirmed.
-	Version int64
-	Age     time.Duration
-	Arrived time.Time
-	Steps   []Step
-	Outcome Outcome
-	Status  int
-	Refusal *work.Refusal
+	// Configured is set if a configuration was known; Version is the one that the request was checked against, and
+	// Age how long before that it had been confirmed.
+	Configured bool
+	Version    int64
+	Age        time.Duration
+	Arrived    time.Time
+	Steps      []Step
+	Outcome    Outcome
+	Status     int
+	Refusal    *work.Refusal
 	// FirstEvent is when the answer began to go out; 0 if it did not.
 	FirstEvent time.Duration
 	// LongestPause is the longest time between two pieces of a stream; 0 if there were not two.
@@ -113,7 +117,7 @@
 func (j *job) end(o Outcome, status int, refusal *work.Refusal) {
 	s := &Story{
 		Request: j.request.ID, Workspace: j.workspace.Name, Pool: j.pool.Name, Arrived: j.arrived, Steps: j.steps,
-		Outcome: o, Status: status, Refusal: refusal, FirstEvent: j.firstEvent, LongestPause: j.longestPause, Took: time.Since(j.arrived), Age: j.age,
+		Outcome: o, Status: status, Refusal: refusal, FirstEvent: j.firstEvent, LongestPause: j.longestPause, Took: time.Since(j.arrived),
 	}
 	if j.suspected {
 		s.Fingerprint = j.fingerprint
@@ -122,7 +126,7 @@
 		s.Route, s.Kind = j.route.Name, string(j.route.Kind)
 	}
 	if j.snapshot != nil && j.snapshot.Configuration() != nil {
-		s.Version = j.snapshot.Configuration().Version()
+		s.Configured, s.Version, s.Age = true, j.snapshot.Configuration().Version(), j.age
 	}
 	j.Journal.Ended(s)
 }
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -38,7 +38,8 @@
 		return nil
 	}
 	j.delay = j.delayAt(upstream)
-	step.Upstream, step.Load, step.Mean = upstream.ID, j.Loads.Estimate(time.Now(), upstream), choice.Mean()
+	step.Upstream, step.Mean, step.Limit = upstream.ID, choice.Mean(), choice.Limit()
+	step.Load = j.Loads.Known(time.Now(), upstream)
 	step.PlanAge, step.Planned = choice.Spread.Age(time.Now())
 	step.Delay, step.Patience = j.delay, choice.Patience
 	if j.beginsTooLate(upstream, choice.Patience) {
