--- a/jackdawd/internal/placement/balancer.go
+++ b/jackdawd/internal/placement/balancer.go
@@ -122,21 +122,25 @@
 
 // put brings a plan into force; the lock must be held.
 func (b *Balancer) put(p *Plan, at time.Time, engines map[string][]*traffic.Upstream) {
-	spread := &Spread{drawnAt: at, weights: map[uint32]uint8{}, means: map[uint32]float64{}, prompts: map[uint32]float64{}}
+	spread := &Spread{drawnAt: at, weights: map[uint32]uint8{}, means: map[uint32]float64{}, sound: map[uint32]float64{}, prompts: map[uint32]float64{}}
 	pools := map[uint32][]*traffic.Upstream{}
 	for pool, list := range engines {
 		pools[PoolHash(pool)] = list
 	}
 	for _, pool := range p.Pools {
 		spread.means[pool.Pool] = pool.mean()
-		named := pool.named()
+		named, sum := pool.named(), 0.0
 		for _, u := range pools[pool.Pool] {
 			e := pool.of(named, u)
+			sum += float64(e.load)
 			b.loads.plan(at, u, int(e.load))
 			if e.weight < fullWeight {
 				spread.weights[u.ShortHash()] = e.weight
 			}
 		}
+		if sum > 0 {
+			spread.sound[pool.Pool] = pool.mean() * float64(len(pools[pool.Pool])) / sum
+		}
 	}
 	for _, prompt := range p.Prompts {
 		spread.prompts[prompt.Prompt] = float64(prompt.Requests)
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -193,13 +193,15 @@
 // Mean returns the mean load of the upstreams. While plans tell of all of them, each counts by its newest news;
 // without a plan upstreams that the host knows nothing of count as idle.
 func (c Choice) Mean() float64 {
-	sum := 0.0
-	for _, l := range c.Loads {
-		if c.Spread == nil {
+	sum, n := 0.0, float64(max(len(c.Loads), 1))
+	if c.Spread == nil {
+		for _, l := range c.Loads {
 			sum += l.Requests()
-			continue
 		}
+		return sum / n
+	}
+	for _, l := range c.Loads {
 		sum += l.Own + l.Others
 	}
-	return sum / float64(max(len(c.Loads), 1))
+	return sum / n * c.Spread.soundPart(c.Pool)
 }
--- a/jackdawd/internal/placement/spread.go
+++ b/jackdawd/internal/placement/spread.go
@@ -27,6 +27,8 @@
 	weights map[uint32]uint8
 	// means are the mean loads of pools, by PoolHash.
 	means map[uint32]float64
+	// sound are the means of pools without what hangs at some engines, as parts of the means of all that engines have.
+	sound map[uint32]float64
 	// prompts are the requests in progress of prompts that many ask for, by PromptHash.
 	prompts map[uint32]float64
 }
@@ -59,6 +61,14 @@
 	return s.means[PoolHash(pool)]
 }
 
+// soundPart returns by how much the mean load of a pool is less without what hangs at some engines, 1 if that is not known.
+func (s *Spread) soundPart(pool string) float64 {
+	if part, ok := s.sound[PoolHash(pool)]; ok {
+		return part
+	}
+	return 1
+}
+
 // leastMean returns the mean load of the pool that has the least.
 func (s *Spread) leastMean() float64 {
 	least := 0.0
