--- a/jackdawd/internal/placement/choose_test.go
+++ b/jackdawd/internal/placement/choose_test.go
@@ -217,6 +217,65 @@
 	require.Greater(t, dear, 700)
 }
 
+// An engine takes none of its prompts by its weight; a long prompt of a short answer stays there for the most part.
+func TestDearPromptsStayWhereTheyAreCached(t *testing.T) {
+	upstreams := pool(10)
+	limited := upstreams[3]
+	staying := func(tokens int) int {
+		stay := 0
+		for key := range uint64(2000) {
+			c := cachedChoice(upstreams, make([]Load, 10), xxhash.Sum64String(fmt.Sprint(key)))
+			c.SharedTokens, c.Takes = tokens, 300*time.Millisecond
+			c.Spread = &Spread{weights: map[uint32]uint8{limited.ShortHash(): 0}}
+			if Choose(c) == limited {
+				stay++
+			}
+		}
+		return stay
+	}
+	require.Zero(t, staying(0))
+	require.InDelta(t, 150, staying(9000), 40)
+}
+
+// A host's own requests pile up at an engine that old news shows with few: it sends part of them elsewhere before the news says so.
+func TestOwnRequestsLeaveAFillingEngine(t *testing.T) {
+	upstreams := pool(6)
+	loads := justTold(6, 6, 6, 6, 6, 6)
+	first := rank(42, upstreams)[0]
+	staying := func(own float64) int {
+		loads[first] = Load{Own: own, Others: 6, Age: 600 * time.Millisecond}
+		stay := 0
+		for tie := range uint64(1000) {
+			c := cachedChoice(upstreams, loads, 42)
+			c.Hosts, c.Lasts, c.Tie = 87, 700*time.Millisecond, tie
+			if Choose(c) == upstreams[first] {
+				stay++
+			}
+		}
+		return stay
+	}
+	require.Equal(t, 1000, staying(0))
+	require.Less(t, staying(3), 500)
+}
+
+// In a jump prompts get further engines, but not long ones: while one is read the crowd waits.
+func TestLongPromptsStayTogetherInAJump(t *testing.T) {
+	upstreams := pool(20)
+	for name, test := range map[string]struct {
+		tokens, want int
+	}{"short": {700, 4}, "middle": {4000, 2}, "long": {8000, 1}} {
+		t.Run(name, func(t *testing.T) {
+			engines := map[*traffic.Upstream]bool{}
+			for tie := range uint64(100) {
+				c := cachedChoice(upstreams, make([]Load, 20), 42)
+				c.Outpaced, c.Hosts, c.SharedTokens, c.Takes, c.Tie = true, 300, test.tokens, time.Second, tie
+				engines[Choose(c)] = true
+			}
+			require.Len(t, engines, test.want)
+		})
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{20, 140, 440, 880} {
 		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
--- a/jackdawd/internal/placement/lightest_test.go
+++ b/jackdawd/internal/placement/lightest_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// A host's own requests pile up at an upstream; where it sends many others do, and it is chosen less for theirs, too.
+func TestOwnRequestsTellOfOthersAtAPlainService(t *testing.T) {
+	c := Choice{Upstreams: pool(4), Loads: justTold(3, 3, 3, 3), Lasts: 300 * time.Millisecond}
+	for i := range c.Loads {
+		c.Loads[i].Age = 200 * time.Millisecond
+	}
+	c.Loads[2].Own = 1
+	alone := chosen(c, 1000)[2]
+	c.Hosts = 87
+	require.Less(t, chosen(c, 1000)[2], alone/2)
+}
+
 func TestLevelOf(t *testing.T) {
 	for name, test := range map[string]struct {
 		heights []float64
--- a/jackdawd/internal/placement/spread_test.go
+++ b/jackdawd/internal/placement/spread_test.go
@@ -32,6 +32,23 @@
 	require.InDelta(t, 0.5, float64(moved)/float64(had), 0.1)
 }
 
+// An engine takes none of its prompts any more, except of the dearest, which it keeps for the most part.
+func TestDearPromptsStayAtALimitedEngine(t *testing.T) {
+	u := pool(1)[0]
+	spread := &Spread{weights: map[uint32]uint8{u.ShortHash(): 0}}
+	taken := map[float64]int{}
+	for score := range uint64(256) {
+		for _, expense := range []float64{0, 0.5, 1} {
+			if spread.takes(score, u, expense) {
+				taken[expense]++
+			}
+		}
+	}
+	require.Zero(t, taken[0])
+	require.InDelta(t, 96, taken[0.5], 2)
+	require.InDelta(t, 192, taken[1], 2)
+}
+
 // A prompt makes six times the mean load. Its requests are spread evenly over as many engines
 // as that asks for, always the same ones, whatever their weights.
 func TestHotPromptHasSeveralEngines(t *testing.T) {
--- /dev/null
+++ b/jackdawd/internal/relay/place_test.go
@@ -0,0 +1,34 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/admission"
+	"jackdawhinge/jackdawd/internal/placement"
+)
+
+// Without how long requests last and how long the prompt is, old news would count as fresh and all prompts as cheap.
+func TestChoiceKnowsTheRequest(t *testing.T) {
+	now := time.Now()
+	turnovers := placement.NewTurnovers()
+	turnovers.Ended(now, "reader", "sort", 400*time.Millisecond)
+	j := &job{
+		Handler: &Handler{Options: Options{
+			Admission: admission.NewController(), Loads: placement.NewLoads(), Turnovers: turnovers,
+			Balancer:     placement.NewBalancer(placement.NewLoads(), func() map[string][]*traffic.Upstream { return nil }, func() float64 { return 2 }),
+			LoadMultiple: func() float64 { return 2 }, Hosts: func() int { return 87 },
+		}},
+		pool: traffic.Pool{Name: "reader", Engine: true}, route: &traffic.Route{Name: "sort"}, arrived: now,
+		request: traffic.Request{Prompt: []traffic.Part{{ID: "a", Tokens: 700}, {ID: "b", Tokens: 90}}},
+	}
+	c := j.choice(nil)
+	require.Equal(t, 700, c.SharedTokens)
+	require.Equal(t, 400*time.Millisecond, c.Takes)
+	require.Less(t, c.Lasts, time.Second)
+	require.Greater(t, c.Lasts, 400*time.Millisecond)
+	require.Equal(t, 87, c.Hosts)
+}
