--- a/jackdawd/internal/fleet/notices.go
+++ b/jackdawd/internal/fleet/notices.go
@@ -24,9 +24,11 @@
 	// within two seconds.
 	rereadEvery = 10 * time.Second
 	// restoredSpread is within which time hosts write their notices again when the store has come back from an
-	// older copy, restoredReread when they all have: they hear of it within some steps down the tree.
-	restoredSpread = 500 * time.Millisecond
-	restoredReread = 1500 * time.Millisecond
+	// older copy, restoredReread when those below the same reader have: they hear of it within some steps down the tree.
+	// The other reader may hear of it, and those below it write, later by as much again; so the list is read twice.
+	restoredSpread  = 500 * time.Millisecond
+	restoredReread  = 1500 * time.Millisecond
+	restoredRereads = 2
 	// announceEvery is how often a host writes its notice again, which another host may
 	// have removed that could not reach it.
 	announceEvery = 10 * time.Minute
@@ -94,8 +96,10 @@
 	}
 	s.readDirectory(ctx)
 	s.done.Go(func() {
-		pause.For(ctx, restoredReread)
-		s.readDirectory(ctx)
+		for range restoredRereads {
+			pause.For(ctx, restoredReread)
+			s.readDirectory(ctx)
+		}
 	})
 }
 
