--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -69,9 +69,10 @@
 
 // poolBounds returns how many requests an upstream of each pool may have.
 func (h *Host) poolBounds() map[string]int64 {
-	bounds := map[string]int64{}
+	bounds, now := map[string]int64{}, time.Now()
+	spread := h.balancer.Spread(now)
 	for name, pool := range h.keeper.Snapshot().Pools() {
-		choice := placement.Choice{Loads: h.loads.All(time.Now(), pool), Multiple: h.bounds.Load().LoadMultiple}
+		choice := placement.Choice{Loads: h.loads.All(now, pool), Multiple: h.bounds.Load().LoadMultiple, Spread: spread, Pool: name}
 		bounds[name] = int64(choice.Limit())
 	}
 	return bounds
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -14,7 +14,7 @@
 	// fewHosts is up to how many hosts each sees enough of all requests itself.
 	fewHosts = 8
 	// outpacedReplicas is how many more engines a prompt has in a large fleet while what hosts tell each other is
-	// outpaced: with four, the loads of engines that a few hundred prompts make differ by half as much.
+	// outpaced: with four, loads differ by half as much.
 	outpacedReplicas = 3
 	// longPrompt is from how many tokens a prompt is too long for that: it would hold up the crowd at each of them.
 	longPrompt = 8000
@@ -69,7 +69,7 @@
 }
 
 // warmest returns the upstream for a request with a prompt: the first in the prompt's own
-// order that is not far above the mean, or the second one if the request can begin in
+// order that accepts it, or the second one if the request can begin in
 // time there only. Every host has the same order, so that without overload all requests
 // of a prompt meet at one engine.
 //
@@ -92,7 +92,7 @@
 
 // firstTwo returns the indexes of the upstream that a prompt goes to and of the one that is
 // next, -1 for none: of as many engines as the prompt has, the first in its order that take
-// it and are not far above the mean, one by the request's own hash.
+// and accept it, one by the request's own hash.
 func (c Choice) firstTwo() (first, second int) {
 	replicas := c.replicas()
 	order := c.order(max(replicas, 2), replicas > 1)
@@ -106,8 +106,8 @@
 	return order[n], order[(n+1)%len(order)]
 }
 
-// order returns the indexes of the first upstreams in the prompt's own order that take it
-// and are not far above the mean, most at the most. All take it if none else does, or if it
+// order returns the indexes of the first upstreams in the prompt's own order that take
+// and accept it, most at the most. All take it if none else does, or if it
 // is hot: it would else go to and fro as a whole when a weight changes that it is the cause of.
 func (c Choice) order(most int, hot bool) []int {
 	limit := c.Limit()
