--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -25,8 +25,8 @@
 	// Upstreams are those that may take the request, and Loads what is known of each one's requests.
 	Upstreams []*traffic.Upstream
 	Loads     []Load
-	// Lasts is how long requests in progress usually last.
-	Lasts time.Duration
+	// Lifetime is how long requests in progress usually last.
+	Lifetime time.Duration
 	// Delay returns how long the request would wait at an upstream, and Patience is how long it
 	// may; an upstream where it would wait longer is full. It is asked of few, and nil if no
 	// upstream is ever full.
@@ -38,9 +38,9 @@
 	// Key is the hash of the prompt that the request shares with others; Cached is set if it has one.
 	Key    uint64
 	Cached bool
-	// SharedTokens is how long that prompt is, and Takes how long such requests usually take; 0 if that is not known.
+	// SharedTokens is how long that prompt is, and Duration how long such requests usually take; 0 if that is not known.
 	SharedTokens int
-	Takes        time.Duration
+	Duration     time.Duration
 	// FailureDomain is this host's own.
 	FailureDomain string
 	// Hosts is how many hosts place requests; 0 if that is not known.
--- a/jackdawd/internal/placement/lightest.go
+++ b/jackdawd/internal/placement/lightest.go
@@ -16,16 +16,16 @@
 // fresh, all alike once none of it holds any more. If each host took the least one by old news, all would meet there.
 func (c Choice) lightest() *traffic.Upstream {
 	open := c.open()
-	costs, come := make([]float64, len(open)), 1.0
+	costs, arrived := make([]float64, len(open)), 1.0
 	for n, i := range open {
-		stay, came := c.Loads[i].witnessed(c.Hosts).since(c.Lasts)
-		costs[n] = c.Loads[i].Own + stay
+		remaining, more := c.Loads[i].withOwnEvidence(c.Hosts).since(c.Lifetime)
+		costs[n] = c.Loads[i].Own + remaining
 		if c.Upstreams[i].FailureDomain != c.FailureDomain {
 			costs[n] += farCost
 		}
-		come += came
+		arrived += more
 	}
-	return c.Upstreams[c.byShare(open, costs, levelOf(costs, come))]
+	return c.Upstreams[c.byShare(open, costs, levelOf(costs, arrived))]
 }
 
 // open returns the indexes of the upstreams that are not full, or of all if all are.
--- a/jackdawd/internal/placement/spread.go
+++ b/jackdawd/internal/placement/spread.go
@@ -14,9 +14,9 @@
 	// mostReplicas bounds the engines of one prompt: with more, reading it everywhere would
 	// take longer than what they share.
 	mostReplicas = 64
-	// dearTaken is the part of the prompts that an engine does not take by its weight of which it takes the
-	// dearest all the same.
-	dearTaken = 0.75
+	// expensiveTaken is the part of the prompts that an engine does not take by its weight of which it takes the
+	// most expensive all the same.
+	expensiveTaken = 0.75
 )
 
 // A Spread is a plan as one host places by it. The zero value and nil spread nothing.
@@ -42,14 +42,14 @@
 }
 
 // takes reports whether an engine takes a prompt that has the score given there; expense, from 0 to 1, says how
-// dear it is to read it elsewhere. The lowest bits of the score decide, which say nothing of the engine's place in the prompt's order:
+// expensive it is to read it elsewhere. The lowest bits of the score decide, which say nothing of the engine's place in the prompt's order:
 // a change of weight moves no more prompts than it must.
 func (s *Spread) takes(score uint64, u *traffic.Upstream, expense float64) bool {
 	if s == nil {
 		return true
 	}
 	weight, limited := s.weights[u.ShortHash()]
-	notTaken := (1 - expense*dearTaken) * float64(fullWeight-weight)
+	notTaken := (1 - expense*expensiveTaken) * float64(fullWeight-weight)
 	return !limited || float64(uint8(score)) < fullWeight-notTaken
 }
 
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -63,7 +63,7 @@
 		Delay: j.delayAt, Stuck: j.stuckAt, Patience: j.patience(),
 		FailureDomain: j.FailureDomain, Multiple: j.LoadMultiple(), Hosts: j.Hosts(), Tie: rand.Uint64(),
 		Spread: j.Balancer.Spread(time.Now()), Pool: j.pool.Name, Outpaced: j.Turnovers.Outpaced(time.Now(), j.pool.Name),
-		Lasts: j.Turnovers.InProgress(time.Now(), j.pool.Name), SharedTokens: j.request.SharedTokens(), Takes: j.Turnovers.Usually(j.route.Name),
+		Lifetime: j.Turnovers.InProgress(time.Now(), j.pool.Name), SharedTokens: j.request.SharedTokens(), Duration: j.Turnovers.Usually(j.route.Name),
 	}
 }
 
