--- a/jackdawd/internal/fleet/directory.go
+++ b/jackdawd/internal/fleet/directory.go
@@ -113,11 +113,14 @@
 	if until.Before(d.position) {
 		return d.selfMissing()
 	}
+	sameEra := until.Era == d.position.Era
 	if whole {
-		d.updateUnlisted(decoded, until.Era == d.position.Era)
+		d.updateUnlisted(decoded, sameEra)
 	}
 	for name, registration := range decoded {
-		if e := d.entries[name]; e.unlisted || !sameRegistration(e.registration, registration) {
+		// A host that started from the backup may lack any entry of the first list after a restore,
+		// also one that this host has known since before.
+		if e := d.entries[name]; !sameEra || e.unlisted || !sameRegistration(e.registration, registration) {
 			d.set(name, registration, until)
 		}
 	}
--- a/jackdawd/internal/fleet/directory_test.go
+++ b/jackdawd/internal/fleet/directory_test.go
@@ -200,3 +200,20 @@
 	started.Merge(intermediate.Since(started.Position()))
 	require.Contains(t, started.All(), "entry-2")
 }
+
+// Guards against a host that started from an older backup and is never sent a host that registered
+// again before the reader first read the restored list.
+func TestHostsRegisteredBeforeFirstReadAfterRestoreAreForwarded(t *testing.T) {
+	restored := func(offset int64) traffic.LogPosition { return traffic.LogPosition{Era: 1, Offset: offset} }
+	reader := newTestDirectory(t, "entry-0", 3)
+	started := NewDirectory(Peer{Name: "entry-1", Registration: Registration{Address: "entry-1", FailureDomain: "b", Secret: "s"}})
+	registrations := map[string][]byte{}
+	for _, name := range []string{"entry-0", "entry-1"} {
+		registrations[name] = encodedRegistration(t, name, "a")
+	}
+	started.Update(registrations, true, restored(2))
+	registrations["entry-2"] = encodedRegistration(t, "entry-2", "a")
+	reader.Update(registrations, true, restored(3))
+	started.Merge(reader.Since(started.Position()))
+	require.Contains(t, started.All(), "entry-2")
+}
