--- a/common/traffic/position.go
+++ b/common/traffic/position.go
@@ -11,6 +11,14 @@
 	Offset int64
 }
 
+// A StoredRecord is the newest record of a key in a topic of the platform's store.
+type StoredRecord struct {
+	// Value is nil if the record deletes the key.
+	Value []byte
+	// End is the position after the record.
+	End LogPosition
+}
+
 // IsZero reports whether nothing was read yet.
 func (p LogPosition) IsZero() bool { return p == LogPosition{} }
 
--- a/jackdawd/internal/fleet/quarantine.go
+++ b/jackdawd/internal/fleet/quarantine.go
@@ -44,6 +44,8 @@
 	HasChanges(p quarantine.Position, minCrashes int) bool
 	// RecordResponse records that a request was answered and so does not crash upstreams.
 	RecordResponse(now time.Time, f quarantine.Fingerprint)
+	// Quarantined reports whether a request is quarantined, and for how much longer.
+	Quarantined(now time.Time, f quarantine.Fingerprint) (time.Duration, bool)
 	// AllQuarantined returns the quarantined requests.
 	AllQuarantined(now time.Time) []quarantine.Record
 	// Changed returns a channel that is closed at the next change.
--- a/jackdawd/internal/fleet/quarantine_notices.go
+++ b/jackdawd/internal/fleet/quarantine_notices.go
@@ -32,10 +32,13 @@
 	// Put stores the notice of a request, or removes it if notice is nil, and returns the log
 	// position after the write.
 	Put(ctx context.Context, request string, notice []byte) (traffic.LogPosition, error)
-	// Next returns the notices changed since the last call, with nil for a removed one, and the
-	// position they are valid at; whole is set if they are all existing notices. It waits up to
+	// PutAtEnd stores the notice of a request if nothing was written after the position end, and
+	// returns the log position after the write. It fails if something was.
+	PutAtEnd(ctx context.Context, request string, notice []byte, end traffic.LogPosition) (traffic.LogPosition, error)
+	// Next returns the notices changed since the last call, without a value for a removed one, and
+	// the position they are valid at; whole is set if they are all existing notices. It waits up to
 	// wait for a change.
-	Next(ctx context.Context, wait time.Duration) (notices map[string][]byte, whole bool, until traffic.LogPosition, err error)
+	Next(ctx context.Context, wait time.Duration) (notices map[string]traffic.StoredRecord, whole bool, until traffic.LogPosition, err error)
 }
 
 // nextStoreBackoff returns the backoff that follows the given one after another failed store call.
@@ -46,17 +49,30 @@
 // knownNotices is this host's knowledge of which quarantine notices are in the store.
 type knownNotices struct {
 	mu sync.Mutex
-	// readUntil is the position up to which the store was read; positions holds, by request, the
-	// position at which the notice was last known to exist.
-	readUntil traffic.LogPosition
+	// readUntil is the position up to which the store was read, if it was read at all, and
+	// writtenUntil the end of this host's last write, before which the store was read as well.
+	readUntil, writtenUntil traffic.LogPosition
+	read                    bool
+	// positions holds, by request, the position after its notice.
 	positions map[string]traffic.LogPosition
 }
 
+// end returns the position up to which this host knows all notices, and false if it knows none yet.
+func (k *knownNotices) end() (traffic.LogPosition, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.readUntil.Before(k.writtenUntil) {
+		return k.writtenUntil, k.read
+	}
+	return k.readUntil, k.read
+}
+
 // recordPut records a written notice and the position after the write. It reports whether the
 // notice is already known to have been removed since.
 func (k *knownNotices) recordPut(request string, position traffic.LogPosition) (removed bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.writtenUntil = position
 	if k.readUntil.Before(position) {
 		k.positions[request] = position
 		return false
@@ -66,12 +82,14 @@
 }
 
 // recordRead records notices read up to a position and returns the requests whose notices were
-// removed. A notice missing because the store was restored from an older backup does not count as
-// removed.
-func (k *knownNotices) recordRead(notices map[string][]byte, whole bool, until traffic.LogPosition) (removed []string) {
+// removed, and those of them whose notices a host that did not know of the removal has written
+// again: hosts write a notice only where there is none, so one with another position than before
+// was removed in between. A notice missing because the store was restored from an older backup does
+// not count as removed.
+func (k *knownNotices) recordRead(notices map[string]traffic.StoredRecord, whole bool, until traffic.LogPosition) (removed, rewritten []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.readUntil = until
+	k.readUntil, k.read = until, true
 	for request, position := range k.positions {
 		if _, listed := notices[request]; !whole || listed || until.Before(position) {
 			continue
@@ -82,21 +100,19 @@
 		}
 	}
 	for request, notice := range notices {
-		if notice == nil {
+		position, known := k.positions[request]
+		switch {
+		case notice.Value == nil:
 			delete(k.positions, request)
 			removed = append(removed, request)
-			continue
+		case known && position.Era == notice.End.Era && position.Before(notice.End):
+			delete(k.positions, request)
+			removed, rewritten = append(removed, request), append(rewritten, request)
+		default:
+			k.positions[request] = notice.End
 		}
-		k.positions[request] = until
 	}
-	return removed
-}
-
-// clear forgets all notices.
-func (k *knownNotices) clear() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	clear(k.positions)
+	return removed, rewritten
 }
 
 func (k *knownNotices) contains(request string) bool {
@@ -136,22 +152,27 @@
 			continue
 		}
 		backoff = 0
-		for _, request := range s.knownNotices.recordRead(notices, whole, until) {
+		removed, rewritten := s.knownNotices.recordRead(notices, whole, until)
+		for _, request := range removed {
 			s.release(time.Now(), request)
 		}
+		for _, request := range rewritten {
+			s.removeNotice(ctx, request)
+		}
 		s.mergeNotices(ctx, notices)
 	}
 }
 
-// mergeNotices applies notices read from the store and removes expired ones there.
-func (s *Source) mergeNotices(ctx context.Context, notices map[string][]byte) {
+// mergeNotices applies notices read from the store. It removes expired ones there, and those of
+// requests that were released or answered while another host wrote their notices.
+func (s *Source) mergeNotices(ctx context.Context, notices map[string]traffic.StoredRecord) {
 	now := time.Now()
 	var records []quarantine.Record
 	for request, notice := range notices {
-		if notice == nil {
+		if notice.Value == nil {
 			continue
 		}
-		r, err := quarantine.DecodeNotice(now, request, notice)
+		r, err := quarantine.DecodeNotice(now, request, notice.Value)
 		switch {
 		case err != nil:
 			logrus.WithError(err).Warn("fleet: Skipped an invalid notice of a quarantined request.")
@@ -162,6 +183,11 @@
 		}
 	}
 	s.options.Quarantine.Merge(now, records)
+	for _, r := range records {
+		if _, quarantined := s.options.Quarantine.Quarantined(now, r.Request); !quarantined {
+			s.removeNotice(ctx, r.Request.String())
+		}
+	}
 }
 
 // publishQuarantineNotices writes notices of quarantined requests while this host is a reader,
@@ -210,9 +236,14 @@
 	s.options.Quarantine.RecordResponse(now, f)
 }
 
-// putNotice writes the notice of a request and reports whether that succeeded.
+// putNotice writes the notice of a request and reports whether that succeeded. It writes only if
+// this host has read all notices, as otherwise it could overwrite an operator's removal.
 func (s *Source) putNotice(ctx context.Context, request string, notice []byte) bool {
-	position, err := s.options.QuarantineStore.Put(ctx, request, notice)
+	end, known := s.knownNotices.end()
+	if !known {
+		return false
+	}
+	position, err := s.options.QuarantineStore.PutAtEnd(ctx, request, notice, end)
 	if err != nil {
 		logrus.WithError(err).WithField("fingerprint", request).Info("fleet: Writing the notice of a quarantined request failed. Retrying.")
 		return false
--- a/jackdawd/internal/fleet/upstreams.go
+++ b/jackdawd/internal/fleet/upstreams.go
@@ -114,7 +114,6 @@
 // has written since.
 func (s *Source) handleRestored() {
 	logrus.Info("fleet: The store was restored from an older backup. Hosts write their entries again.")
-	s.knownNotices.clear()
 	s.notifyRestored()
 }
 
