--- a/common/report/report.go
+++ b/common/report/report.go
@@ -27,6 +27,8 @@
 	Waiting       int     `json:"waiting"`
 	WaitingTokens int64   `json:"waiting-tokens"`
 	Limit         int64   `json:"limit"`
+	// Cold is how much longer the upstream bears only the rate of a cold one.
+	Cold targets.Duration `json:"cold,omitempty"`
 }
 
 // A Class holds a host's statistics of one request class since its start. Target is the latency
@@ -58,6 +60,16 @@
 	// Quarantined lists the requests that are rejected because upstreams crashed while executing
 	// them.
 	Quarantined []QuarantinedRequest `json:"quarantined,omitempty"`
+	// Evacuations lists the failure domains whose upstreams get no new requests.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
+}
+
+// An Evacuation is a failure domain that operators have taken out of use: how long this host has
+// known of it, and the offset of the operators' record in the platform's store.
+type Evacuation struct {
+	FailureDomain string           `json:"failure-domain"`
+	Known         targets.Duration `json:"known"`
+	Record        int64            `json:"record"`
 }
 
 // A QuarantinedRequest is a quarantined request, with the time left until it is admitted again.
@@ -67,13 +79,14 @@
 	Remaining   targets.Duration `json:"left"`
 }
 
-// Sort sorts the classes by name, the upstreams by model and name, and the quarantined requests by
-// fingerprint.
+// Sort sorts the classes by name, the upstreams by model and name, the quarantined requests by
+// fingerprint, and the evacuations by failure domain.
 func (s *Status) Sort() {
 	slices.SortFunc(s.Classes, func(a, b Class) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(s.Upstreams, func(a, b Upstream) int {
 		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Name, b.Name))
 	})
+	slices.SortFunc(s.Evacuations, func(a, b Evacuation) int { return cmp.Compare(a.FailureDomain, b.FailureDomain) })
 	slices.SortFunc(s.Quarantined, func(a, b QuarantinedRequest) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 }
 
--- a/common/traffic/configuration.go
+++ b/common/traffic/configuration.go
@@ -10,6 +10,8 @@
 // A Workspace is a customer, identified by the API key that its requests carry.
 type Workspace struct {
 	Name string
+	// Regions lists the regions that may process the workspace's requests; empty means all.
+	Regions []string
 	// Urgency ranks the workspace's requests, 0 being the most urgent; it is compared before the
 	// route's.
 	Urgency int
@@ -27,6 +29,10 @@
 	Slots int
 	// CacheTokens is an engine's memory for cached and running prompts, in tokens.
 	CacheTokens int64
+	// ColdStart is how long an upstream is cold after its start, ColdRate the number of requests per
+	// second from all hosts together that it bears while it is; 0 if it bears as many as ever.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Limits bound the size and the duration of what a caller sends.
@@ -37,7 +43,8 @@
 	IdleTimeout   time.Duration
 }
 
-// A Configuration is one immutable version of the operators' configuration.
+// A Configuration is one immutable version of the operators' configuration, with the evacuations in
+// force.
 type Configuration struct {
 	version     int64
 	routes      map[string][]*Route
@@ -46,6 +53,7 @@
 	workspaces  map[string]Workspace
 	keyRequired bool
 	document    []byte
+	evacuations Evacuations
 }
 
 // ConfigurationInput holds the parts of a new Configuration.
@@ -88,6 +96,16 @@
 // other hosts; callers must not modify it.
 func (c *Configuration) Document() []byte { return c.document }
 
+// Evacuations returns the failure domains that operators have taken out of use.
+func (c *Configuration) Evacuations() Evacuations { return c.evacuations }
+
+// WithEvacuations returns the same version of the configuration with other evacuations in force.
+func (c *Configuration) WithEvacuations(e Evacuations) *Configuration {
+	changed := *c
+	changed.evacuations = e
+	return &changed
+}
+
 // Limits returns the limits on callers' requests.
 func (c *Configuration) Limits() Limits { return c.limits }
 
--- a/common/traffic/upstream.go
+++ b/common/traffic/upstream.go
@@ -1,6 +1,10 @@
 package traffic
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // An UpstreamState is the lifecycle state that an upstream reports.
 type UpstreamState string
@@ -27,6 +31,8 @@
 	State UpstreamState
 	// Sequence orders the reports of one incarnation; a report with a lower number is older.
 	Sequence int64
+	// ColdFor is for how much longer the upstream bears only its pool's ColdRate, as of the report.
+	ColdFor time.Duration
 	// Models lists the loaded models; empty means that the upstream reports none and may serve any.
 	Models []string
 }
--- a/jackdaw/internal/cmd/statuscmd.go
+++ b/jackdaw/internal/cmd/statuscmd.go
@@ -40,6 +40,9 @@
 				if err := printStoreEra(w, status.StoreEra); err != nil {
 					return err
 				}
+				if err := printEvacuations(w, status.Evacuations); err != nil {
+					return err
+				}
 				if err := printClasses(w, status.Classes); err != nil {
 					return err
 				}
@@ -116,6 +119,15 @@
 	return err
 }
 
+func printEvacuations(out io.Writer, evacuations []report.Evacuation) error {
+	for _, e := range evacuations {
+		if _, err := fmt.Fprintf(out, "failure domain %s is evacuated by record %d, known for %s: its upstreams get no new requests\n", e.FailureDomain, e.Record, time.Duration(e.Known)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func printQuarantined(out io.Writer, requests []report.QuarantinedRequest) error {
 	for _, r := range requests {
 		if _, err := fmt.Fprintf(out, "request %s is refused for %s: %d upstreams crashed under it\n", r.Fingerprint, time.Duration(r.Remaining), r.Crashes); err != nil {
--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -17,6 +17,7 @@
 
 	"jackdawhinge/jackdawd/internal/entry"
 	"jackdawhinge/jackdawd/internal/membership"
+	"jackdawhinge/jackdawd/internal/placement"
 	"jackdawhinge/jackdawd/internal/settings"
 	"jackdawhinge/jackdawd/internal/telemetry"
 	"jackdawhinge/platform"
@@ -119,10 +120,15 @@
 }
 
 func entryBounds(b platform.Bounds) entry.Bounds {
+	if b.MaxEvacuationDelay > 0 {
+		// Evacuations reach hosts together with the configuration.
+		b.MaxConfigurationAge = min(b.MaxConfigurationAge, b.MaxEvacuationDelay)
+	}
 	return entry.Bounds{
 		Bounds:      membership.Bounds{MaxRevocationDelay: b.MaxRevocationDelay, MaxConfigurationAge: b.MaxConfigurationAge, MaxDrainDelay: b.MaxDrainDelay, EntryTTL: b.EntryTTL},
 		GracePeriod: b.GracePeriod,
 		RetryRatio:  b.RetryRatio, LoadMultiple: b.LoadMultiple,
+		ColdTolerance: placement.ColdTolerance{Overrun: b.ColdOverrun, Slack: b.ColdSlack},
 	}
 }
 
--- a/jackdawd/internal/entry/admin.go
+++ b/jackdawd/internal/entry/admin.go
@@ -10,6 +10,7 @@
 	"jackdawhinge/common/report"
 	"jackdawhinge/common/targets"
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/membership"
 	"jackdawhinge/jackdawd/internal/placement"
 )
 
@@ -46,10 +47,23 @@
 		status.Upstreams = append(status.Upstreams, h.describeUpstreams(name, pool)...)
 	}
 	status.Quarantined = h.quarantinedRequests()
+	status.Evacuations = evacuations(time.Now(), snapshot)
 	status.Sort()
 	return status
 }
 
+// evacuations returns the failure domains that operators have taken out of use.
+func evacuations(now time.Time, snapshot *membership.Snapshot) []report.Evacuation {
+	var out []report.Evacuation
+	for domain, since := range snapshot.EvacuatedSince() {
+		out = append(out, report.Evacuation{
+			FailureDomain: domain, Known: targets.Duration(now.Sub(since).Round(time.Millisecond)),
+			Record: snapshot.Configuration().Evacuations().Domains[domain].Offset - 1,
+		})
+	}
+	return out
+}
+
 // quarantinedRequests returns the requests that are no longer sent to upstreams because upstreams
 // crashed while they ran them.
 func (h *Host) quarantinedRequests() []report.QuarantinedRequest {
@@ -66,9 +80,11 @@
 	loads := h.loads.All(time.Now(), upstreams)
 	mean := placement.Choice{Loads: loads}.Mean()
 	reports := make([]report.Upstream, len(upstreams))
+	snapshot, now := h.tracker.Snapshot(), time.Now()
 	for i, u := range upstreams {
 		reports[i] = report.Upstream{
 			Name: u.ID, Model: pool, FailureDomain: u.FailureDomain, Load: int64(loads[i].Requests()), LoadKnown: true, MeanLoad: mean, Limit: int64(u.Slots),
+			Cold: targets.Duration(max(snapshot.ColdUntil(u.ID).Sub(now), 0).Round(time.Millisecond)),
 		}
 	}
 	return reports
@@ -81,7 +97,7 @@
 	if !ok {
 		return report.Explanation{}, false
 	}
-	explanation := report.Explanation{Host: h.options.Name, Model: pool, LoadMultiple: h.bounds.Load().LoadMultiple}
+	explanation := report.Explanation{Host: h.options.Name, Model: pool, LoadMultiple: h.loadMultiple(pool)}
 	ranked := placement.Rank(xxhash.Sum64String(sharedPart), upstreams)
 	explanation.Candidates = h.describeUpstreams(pool, ranked[:min(len(ranked), maxExplainedCandidates)])
 	return explanation, true
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -57,6 +57,8 @@
 	m.GaugeFamily("pool_load_bound", "pool", h.poolLoadBounds)
 	m.GaugeFamily("upstream_requests", "upstream", h.upstreamRequests)
 	m.GaugeFamily("upstreams_avoided", "pool", h.poolAvoided)
+	m.GaugeFamily("upstreams_cold", "pool", h.poolCold)
+	m.GaugeFamily("upstreams_evacuated", "pool", h.poolEvacuated)
 }
 
 func (h *Host) poolSizes() map[string]int64 {
@@ -72,7 +74,7 @@
 	bounds, now := map[string]int64{}, time.Now()
 	plan := h.balancer.LocalPlan(now)
 	for name, pool := range h.tracker.Snapshot().ReadyPools() {
-		choice := placement.Choice{Loads: h.loads.All(now, pool), LoadMultiple: h.bounds.Load().LoadMultiple, Plan: plan, Pool: name}
+		choice := placement.Choice{Loads: h.loads.All(now, pool), LoadMultiple: h.loadMultiple(name), Plan: plan, Pool: name}
 		bounds[name] = int64(choice.Limit())
 	}
 	return bounds
@@ -91,6 +93,30 @@
 	return avoided
 }
 
+// poolCold returns the number of upstreams that are cold, by pool.
+func (h *Host) poolCold() map[string]int64 {
+	snapshot, now := h.tracker.Snapshot(), time.Now()
+	cold := map[string]int64{}
+	for name, pool := range snapshot.ReadyPools() {
+		for _, u := range pool {
+			if snapshot.ColdUntil(u.ID).After(now) {
+				cold[name]++
+			}
+		}
+	}
+	return cold
+}
+
+// poolEvacuated returns the number of upstreams that get no new requests because their failure
+// domain is evacuated, by pool.
+func (h *Host) poolEvacuated() map[string]int64 {
+	evacuated := map[string]int64{}
+	for name, count := range h.tracker.Snapshot().EvacuatedCounts() {
+		evacuated[name] = int64(count)
+	}
+	return evacuated
+}
+
 // upstreamRequests returns the estimated requests in progress by upstream. Upstreams beyond
 // maxNamedUpstreams are summed up under one name, which limits the size of a large fleet's
 // metrics.
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -94,6 +94,8 @@
 	RetryRatio float64
 	// LoadMultiple is the maximum load of an upstream as a multiple of the mean load.
 	LoadMultiple float64
+	// ColdTolerance is how many requests a cold upstream may get within a second.
+	ColdTolerance placement.ColdTolerance
 }
 
 // A Host is one entry host with its servers.
@@ -108,6 +110,7 @@
 	quarantine      *quarantine.Registry
 	loads           *placement.Loads
 	balancer        *placement.Balancer
+	coldLimiter     *placement.ColdLimiter
 	handler         *relay.Handler
 	conns           *callerConns
 	callerServer    *khttp.Server
@@ -132,11 +135,12 @@
 		Configurations: h.source.Configurations(), Upstreams: h.source.Upstreams(), Uptime: uptime, Bounds: o.Bounds.Bounds,
 	})
 	h.source.Start(h.tracker)
+	h.coldLimiter = placement.NewColdLimiter(o.Name, func() []string { return h.source.Directory().KnownNames() }, func() placement.ColdTolerance { return h.bounds.Load().ColdTolerance })
 	h.client = exchange.NewClient(o.Protocol, nil)
 	h.budgets = relay.NewRetryBudgets(o.Bounds.RetryRatio)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Membership: h.tracker, Client: h.client, Loads: h.loads, Balancer: h.balancer, CacheLocations: placement.NewCacheLocations(), RequestStats: placement.NewRequestStats(),
-		RetryBudgets: h.budgets, Admission: admission.NewController(), Quarantine: h.quarantine, Backoffs: relay.NewBackoffs(), Recorder: requestlog.NewWriter(o.RoutineLogger, o.AnomalyLogger, o.Meter),
+		RetryBudgets: h.budgets, Admission: admission.NewController(), Quarantine: h.quarantine, Backoffs: relay.NewBackoffs(), ColdLimiter: h.coldLimiter, Recorder: requestlog.NewWriter(o.RoutineLogger, o.AnomalyLogger, o.Meter),
 		FailureDomain: o.FailureDomain, InSameRegion: o.InSameRegion, MaxTotalBodyBytes: o.MaxTotalBodyBytes, LoadMultiple: h.loadMultiple, HostCount: h.hostCount,
 	})
 	h.registerGauges(o.Meter)
@@ -153,6 +157,7 @@
 			case now := <-ticker.C:
 				h.conns.closeExpired(now, h.idleTimeout())
 				h.loads.RemoveUnused(now)
+				h.coldLimiter.RemoveUnused(now)
 			}
 		}
 	}()
@@ -179,7 +184,14 @@
 
 func (h *Host) maxConfigurationAge() time.Duration { return h.bounds.Load().MaxConfigurationAge }
 
-func (h *Host) loadMultiple() float64 { return h.bounds.Load().LoadMultiple }
+// loadMultiple returns how many times the mean load of a pool's ready upstreams one of them may
+// carry. Operators bound the load by the mean of all upstreams; those of evacuated failure domains
+// are idle and lower it.
+func (h *Host) loadMultiple(pool string) float64 {
+	snapshot := h.tracker.Snapshot()
+	ready, evacuated := float64(len(snapshot.ReadyUpstreams(pool))), float64(snapshot.EvacuatedCount(pool))
+	return h.bounds.Load().LoadMultiple * ready / max(ready+evacuated, 1)
+}
 
 // SetBounds replaces the bounds.
 func (h *Host) SetBounds(b Bounds) {
--- a/jackdawd/internal/fleet/directory.go
+++ b/jackdawd/internal/fleet/directory.go
@@ -83,6 +83,8 @@
 	rejectedUntil time.Time
 	// byDomain holds the hosts of each failure domain of the region by rank.
 	byDomain map[string][]Peer
+	// names are the known hosts.
+	names []string
 }
 
 // NewDirectory returns a directory that contains only this host.
@@ -284,6 +286,17 @@
 	return len(d.hosts)
 }
 
+// KnownNames returns the names of all hosts, or none before the host list was read. The slice must
+// not be changed.
+func (d *Directory) KnownNames() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.position.IsZero() {
+		return nil
+	}
+	return d.names
+}
+
 // All returns the registrations of the known hosts by name.
 func (d *Directory) All() map[string]Registration {
 	d.mu.Lock()
@@ -328,4 +341,5 @@
 	}
 	d.hosts[d.self.Name] = d.self.Registration
 	d.byDomain = d.hostsByDomain()
+	d.names = slices.Collect(maps.Keys(d.hosts))
 }
--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -67,10 +67,37 @@
 		return nil, err
 	}
 	next = c.preferNewest(ctx, next)
-	c.version = next.Version()
+	c.recordConfiguration(next)
 	return next, nil
 }
 
+// recordConfiguration records what this host will have once it has applied a configuration, nil for
+// none.
+func (c configurations) recordConfiguration(next *traffic.Configuration) {
+	if next == nil {
+		return
+	}
+	c.version = max(c.version, next.Version())
+	if position := next.Evacuations().Position; c.evacuations.Before(position) {
+		c.evacuations = position
+	}
+}
+
+// withEvacuations returns a configuration with evacuations that the parent has sent. Without a newer
+// configuration it is the one in force.
+func (c configurations) withEvacuations(next *traffic.Configuration, evacuations *traffic.Evacuations) *traffic.Configuration {
+	if evacuations == nil {
+		return next
+	}
+	if next == nil {
+		next = c.state.Changes().Configuration()
+	}
+	if next == nil {
+		return nil
+	}
+	return next.WithEvacuations(*evacuations)
+}
+
 // readStore reads the configuration from the store; left is set if the parent has just been left.
 // Trying one host after another could exceed the age bounds, so the store is read next, without
 // waiting.
@@ -90,9 +117,7 @@
 // readConfiguration makes one read of the configuration from the store.
 func (c configurations) readConfiguration(ctx context.Context, wait time.Duration) (*traffic.Configuration, error) {
 	next, err := c.options.Configurations.Next(ctx, wait)
-	if next != nil {
-		c.version = max(c.version, next.Version())
-	}
+	c.recordConfiguration(next)
 	if wasFailing := c.storeFailing.Swap(err != nil); wasFailing && err == nil {
 		c.storeRecovered.raise()
 	}
@@ -108,7 +133,7 @@
 	defer cancel()
 	sent := c.options.Uptime()
 	args := FollowArgs{
-		Version: c.version, Position: c.position, Whole: c.needsFullList, Heard: c.parentListTime, Wait: followPollWait, Oldest: maxListAge,
+		Version: c.version, Evacuations: c.evacuations, Position: c.position, Whole: c.needsFullList, Heard: c.parentListTime, Wait: followPollWait, Oldest: maxListAge,
 	}
 	if c.askedHost != parent.Name {
 		// Positions and times are relative to one host, and a new parent should answer at once.
@@ -155,12 +180,11 @@
 			return nil, 0, err
 		}
 	}
+	next = c.withEvacuations(next, reply.Evacuations)
 	if err := c.forwardUpstreams(parent, reply, listTime); err != nil {
 		return nil, 0, err
 	}
-	if next != nil {
-		c.version = max(c.version, next.Version())
-	}
+	c.recordConfiguration(next)
 	c.position, c.parentListTime = reply.Position, reply.Heard
 	// Updates of other kinds are passed on at once.
 	c.lastReplyPlanOnly = reply.Exchange.Plan != nil && next == nil && len(reply.Listed) == 0 && len(reply.Entries) == 0
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -30,6 +30,8 @@
 	// upstream changes.
 	Version  int64
 	Position membership.Position
+	// Evacuations is the position of the evacuations that the follower has.
+	Evacuations traffic.LogPosition
 	// Whole requests the complete list of upstreams, whatever the position.
 	Whole bool
 	// Heard is the value of Heard in the parent's last reply.
@@ -57,7 +59,9 @@
 	Heard      time.Duration
 	// Document is the compressed configuration, empty if the follower has it.
 	Document []byte
-	Position membership.Position
+	// Evacuations are the evacuations in force, nil if the follower has them.
+	Evacuations *traffic.Evacuations
+	Position    membership.Position
 	// Listed is the complete list of upstreams, compressed, if the follower's position is too old;
 	// otherwise Entries are the changes since.
 	Listed  []byte
--- a/jackdawd/internal/fleet/newest.go
+++ b/jackdawd/internal/fleet/newest.go
@@ -41,7 +41,7 @@
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
 	others := c.directory.OnePerDomain(time.Now())
-	answers, readVersion := make(chan *traffic.Configuration, len(others)), newest.Version()
+	answers, readVersion, evacuations := make(chan *traffic.Configuration, len(others)), newest.Version(), newest.Evacuations()
 	for _, other := range others {
 		go func() {
 			newer, err := c.fetchNewest(ctx, other, readVersion)
@@ -56,6 +56,7 @@
 			newest = newer
 		}
 	}
+	newest = newest.WithEvacuations(evacuations)
 	if newest.Version() > readVersion {
 		logrus.WithFields(logrus.Fields{"read": readVersion, "version": newest.Version()}).Info("fleet: Other hosts have a newer configuration than the store.")
 	}
--- a/jackdawd/internal/fleet/service.go
+++ b/jackdawd/internal/fleet/service.go
@@ -68,7 +68,7 @@
 		return false
 	}
 	listAdvance := time.Duration(s.source.listTime.Load()) - args.Heard
-	return s.source.hasPlanFor(time.Now(), calledAt, &args.Exchange) || changes.Configuration().Version() > args.Version || changes.End() != args.Position || listAdvance < 0 || listAdvance >= listTimeTolerance
+	return s.source.hasPlanFor(time.Now(), calledAt, &args.Exchange) || changes.Configuration().Version() > args.Version || args.Evacuations.Before(changes.Configuration().Evacuations().Position) || changes.End() != args.Position || listAdvance < 0 || listAdvance >= listTimeTolerance
 }
 
 func (s *service) fillReply(calledAt time.Time, args *FollowArgs, reply *FollowReply) error {
@@ -98,6 +98,9 @@
 		reply.Behind = unknownAge
 		return nil
 	}
+	if evacuations := conf.Evacuations(); args.Evacuations.Before(evacuations.Position) {
+		reply.Evacuations = &evacuations
+	}
 	if conf.Version() <= args.Version {
 		return nil
 	}
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -119,7 +119,9 @@
 	appliedAt         time.Time
 	position          membership.Position
 	version           int64
-	parentListTime    time.Duration
+	// evacuations is the position of the evacuations that this host has.
+	evacuations    traffic.LogPosition
+	parentListTime time.Duration
 	// storeFailing is set while reads of the configuration from the store fail; storeRecovered is
 	// raised when they succeed again.
 	storeFailing   atomic.Bool
--- a/jackdawd/internal/membership/poll.go
+++ b/jackdawd/internal/membership/poll.go
@@ -60,13 +60,19 @@
 
 // applyConfiguration puts a configuration into force; age is how old it may be.
 func (t *Tracker) applyConfiguration(s *state, c *traffic.Configuration, age time.Duration) {
-	if s.configuration != nil && c.Version() <= s.configuration.Version() {
-		// The store may return the newest record again. An older configuration never replaces a
-		// newer one.
+	merged := s.mergeConfiguration(c)
+	if merged == nil {
 		return
 	}
-	s.configuration = c
-	logrus.WithFields(logrus.Fields{"version": c.Version(), "routes": c.RouteCount(), "age": age.String()}).Info("membership: A new configuration is in force.")
+	now, old := time.Now(), s.configuration
+	s.configuration = merged
+	if old == nil || old.Evacuations().Position.Era != merged.Evacuations().Position.Era {
+		s.restoredAt = now
+	}
+	if old == nil || old.Version() != merged.Version() {
+		logrus.WithFields(logrus.Fields{"version": merged.Version(), "routes": merged.RouteCount(), "age": age.String()}).Info("membership: A new configuration is in force.")
+	}
+	s.updateEvacuations(now, merged.Evacuations().Domains)
 	t.publish(s)
 }
 
--- a/jackdawd/internal/membership/snapshot.go
+++ b/jackdawd/internal/membership/snapshot.go
@@ -12,7 +12,8 @@
 // A Snapshot is a host's view of the configuration and the upstreams at one moment. It is immutable.
 type Snapshot struct {
 	configuration *traffic.Configuration
-	// ready and all hold the upstreams by pool, byID each upstream by its identifier.
+	// ready and all hold the upstreams by pool, byID each upstream by its identifier. Upstreams of
+	// evacuated failure domains are not ready.
 	ready     map[string][]*traffic.Upstream
 	byID      map[string]*traffic.Upstream
 	all       map[string][]*traffic.Upstream
@@ -20,6 +21,11 @@
 	avoided   map[string]bool
 	// upstreamsKnown is set once the list of upstreams has been read.
 	upstreamsKnown bool
+	coldUntil      map[string]time.Time
+	evacuatedSince map[string]time.Time
+	// evacuatedCounts holds, by pool, the number of upstreams that are not ready only because their
+	// failure domain is evacuated.
+	evacuatedCounts map[string]int
 }
 
 // Configuration returns the configuration in force, or nil before there is one.
@@ -38,9 +44,33 @@
 // IsReady reports whether an upstream is listed and ready, so that it may get new work.
 func (s *Snapshot) IsReady(id string) bool {
 	u, ok := s.byID[id]
-	return ok && u.State == traffic.Ready
+	return ok && u.State == traffic.Ready && !s.IsEvacuated(u.FailureDomain)
 }
 
+// IsEvacuated reports whether operators have taken a failure domain out of use.
+func (s *Snapshot) IsEvacuated(failureDomain string) bool {
+	if s.configuration == nil {
+		return false
+	}
+	_, evacuated := s.configuration.Evacuations().Domains[failureDomain]
+	return evacuated
+}
+
+// EvacuatedCount returns the number of a pool's upstreams that would be ready if their failure
+// domains were not evacuated.
+func (s *Snapshot) EvacuatedCount(pool string) int { return s.evacuatedCounts[pool] }
+
+// EvacuatedCounts returns these numbers by pool; the map must not be changed.
+func (s *Snapshot) EvacuatedCounts() map[string]int { return s.evacuatedCounts }
+
+// EvacuatedSince returns when this host learned of each evacuation in force, by failure domain; the
+// map must not be changed.
+func (s *Snapshot) EvacuatedSince() map[string]time.Time { return s.evacuatedSince }
+
+// ColdUntil returns until when an upstream bears only its pool's ColdRate, or the zero time if it
+// is warm.
+func (s *Snapshot) ColdUntil(id string) time.Time { return s.coldUntil[id] }
+
 // Lookup returns an upstream by its identifier, ready or leaving, and whether it is listed.
 func (s *Snapshot) Lookup(id string) (*traffic.Upstream, bool) {
 	u, ok := s.byID[id]
@@ -61,12 +91,16 @@
 	s := &Snapshot{
 		configuration: c, ready: map[string][]*traffic.Upstream{},
 		all: map[string][]*traffic.Upstream{}, byID: map[string]*traffic.Upstream{},
-		firstSeen: maps.Clone(firstSeen), avoided: avoided,
+		firstSeen: maps.Clone(firstSeen), avoided: avoided, evacuatedCounts: map[string]int{},
 	}
 	for id, u := range upstreams {
 		s.byID[id] = &u
 		s.all[u.Pool] = append(s.all[u.Pool], &u)
-		if u.State != traffic.Ready {
+		switch {
+		case u.State != traffic.Ready:
+			continue
+		case s.IsEvacuated(u.FailureDomain):
+			s.evacuatedCounts[u.Pool]++
 			continue
 		}
 		s.ready[u.Pool] = append(s.ready[u.Pool], &u)
--- a/jackdawd/internal/membership/state.go
+++ b/jackdawd/internal/membership/state.go
@@ -14,6 +14,15 @@
 // state is owned by the control goroutine; no other goroutine accesses it.
 type state struct {
 	configuration *traffic.Configuration
+	// evacuatedSince holds when this host learned of each evacuation in force, restoredAt when it
+	// learned of the last restore of the store.
+	evacuatedSince map[string]time.Time
+	restoredAt     time.Time
+	// coldUntil holds until when upstreams are cold by their entries, assumedColdUntil until when
+	// they may be although their entries do not say so.
+	coldUntil, assumedColdUntil map[string]time.Time
+	// coldShortened is set if coldUntil has become shorter since the last snapshot.
+	coldShortened bool
 	// overAge is set while the configuration may be older than allowed.
 	overAge   bool
 	upstreams map[string]traffic.Upstream
@@ -138,6 +147,8 @@
 func (s *state) remove(id string) {
 	delete(s.upstreams, id)
 	delete(s.firstSeen, id)
+	delete(s.coldUntil, id)
+	delete(s.assumedColdUntil, id)
 	s.changes.add(traffic.RemovedEntry(id))
 }
 
@@ -176,6 +187,11 @@
 	s.newestVersions[u.ID] = versionOf(u)
 	s.upstreams[u.ID] = u
 	restarted := known && u.Incarnation != old.Incarnation
+	var previous *traffic.Upstream
+	if known {
+		previous = &old
+	}
+	coldChanged := s.recordCold(time.Now(), previous, u)
 	if !known || restarted {
 		s.firstSeen[u.ID] = time.Now()
 	}
@@ -184,8 +200,8 @@
 		s.outliers.Remove(u.ID)
 		logrus.WithField("upstream", u.ID).Info("membership: Upstream restarted.")
 	}
-	old.Sequence = u.Sequence
-	if known && reflect.DeepEqual(old, u) {
+	old.Sequence, old.ColdFor = u.Sequence, u.ColdFor
+	if known && !coldChanged && reflect.DeepEqual(old, u) {
 		if returned {
 			// A host that follows this one may already have removed the upstream.
 			s.changes.add(traffic.ListedEntry(u))
--- a/jackdawd/internal/membership/tracker.go
+++ b/jackdawd/internal/membership/tracker.go
@@ -115,7 +115,10 @@
 	t := &Tracker{options: o, leaving: &leavingSet{addedAt: map[traffic.UpstreamInstance]time.Time{}}, inputs: make(chan func(*state), inputQueueSize), cancel: cancel}
 	t.confirmedAt.Store(neverConfirmed)
 	t.SetBounds(o.Bounds)
-	s := &state{changes: newChangeLog(), upstreams: map[string]traffic.Upstream{}, removeAt: map[string]time.Time{}, firstSeen: map[string]time.Time{}, newestVersions: map[string]entryVersion{}, outliers: control.NewOutlierDetector(), leaving: t.leaving}
+	s := &state{
+		changes: newChangeLog(), upstreams: map[string]traffic.Upstream{}, removeAt: map[string]time.Time{}, firstSeen: map[string]time.Time{}, newestVersions: map[string]entryVersion{},
+		evacuatedSince: map[string]time.Time{}, coldUntil: map[string]time.Time{}, assumedColdUntil: map[string]time.Time{}, outliers: control.NewOutlierDetector(), leaving: t.leaving,
+	}
 	t.publish(s)
 	t.wg.Go(func() { t.run(ctx, s) })
 	t.wg.Go(func() { t.pollConfiguration(ctx) })
@@ -283,12 +286,21 @@
 			t.trackAge(s)
 			t.removeExpired(s, time.Now())
 			t.applyLeaving(s)
+			t.applyTime(s, time.Now())
 			t.publishIfAvoidedChanged(s)
 			t.publishScores(s)
 		}
 	}
 }
 
+// applyTime ends what holds for a limited time.
+func (t *Tracker) applyTime(s *state, now time.Time) {
+	coldEnded := s.expireCold(now)
+	if s.expireEvacuations(now) || coldEnded {
+		t.publish(s)
+	}
+}
+
 // trackAge adds up, and logs, for how long the configuration is older than it should be.
 func (t *Tracker) trackAge(s *state) {
 	if !t.IsCurrent() {
@@ -367,9 +379,9 @@
 	}
 	s.avoided = avoided
 	snapshot := newSnapshot(s.configuration, s.upstreams, s.firstSeen, avoided)
-	snapshot.upstreamsKnown = s.upstreamsKnown
+	snapshot.upstreamsKnown, snapshot.coldUntil, snapshot.evacuatedSince = s.upstreamsKnown, s.coldUpstreams(), maps.Clone(s.evacuatedSince)
 	t.snapshot.Store(snapshot)
-	old := t.changes.Swap(s.changes.snapshot(s.configuration, s.upstreams))
+	old := t.changes.Swap(s.changes.snapshot(s.configuration, s.withTimeLeftCold(time.Now())))
 	if old != nil {
 		close(old.superseded)
 	}
--- a/jackdawd/internal/placement/cache_locations.go
+++ b/jackdawd/internal/placement/cache_locations.go
@@ -66,6 +66,8 @@
 	Lookup(id string) (*traffic.Upstream, bool)
 	// FirstSeen returns when an upstream was first listed.
 	FirstSeen(id string) time.Time
+	// ColdUntil returns until when an upstream is cold, or the zero time.
+	ColdUntil(id string) time.Time
 }
 
 // newUpstreamWindow is how long a newly listed upstream is assumed to have nothing cached.
@@ -93,8 +95,8 @@
 	return firstInOrder(now, key, to, members)
 }
 
-// firstInOrder returns the first upstream other than to in the prompt's rendezvous order. New
-// upstreams rank last.
+// firstInOrder returns the first upstream other than to in the prompt's rendezvous order. New and
+// cold upstreams rank last, as they probably have nothing cached.
 func firstInOrder(now time.Time, key uint64, to *traffic.Upstream, members Membership) *traffic.Upstream {
 	var best *traffic.Upstream
 	var bestScore uint64
@@ -103,7 +105,7 @@
 		if u.ID == to.ID {
 			continue
 		}
-		score, isNew := routing.RendezvousScore(key, u.Hash), now.Sub(members.FirstSeen(u.ID)) < newUpstreamWindow
+		score, isNew := routing.RendezvousScore(key, u.Hash), now.Sub(members.FirstSeen(u.ID)) < newUpstreamWindow || members.ColdUntil(u.ID).After(now)
 		if best == nil || (bestIsNew && !isNew) || (bestIsNew == isNew && score > bestScore) {
 			best, bestScore, bestIsNew = u, score, isNew
 		}
--- a/jackdawd/internal/placement/cache_locations_test.go
+++ b/jackdawd/internal/placement/cache_locations_test.go
@@ -39,6 +39,8 @@
 
 func (m fakeMembership) FirstSeen(id string) time.Time { return m.firstSeen[id] }
 
+func (m fakeMembership) ColdUntil(string) time.Time { return time.Time{} }
+
 func TestSource(t *testing.T) {
 	upstreams, now := newUpstreams(3), time.Unix(100, 0)
 	members := fakeMembership{all: upstreams, removed: map[string]bool{}}
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -26,6 +26,9 @@
 	// Upstreams are the candidates, and Loads what is known of the load of each.
 	Upstreams []*traffic.Upstream
 	Loads     []Load
+	// Usable is parallel to Upstreams and false for those that only count for the mean load; nil
+	// means that all are usable.
+	Usable []bool
 	// Lifetime is the mean duration of the requests in progress, which is longer than that of all
 	// requests.
 	Lifetime time.Duration
@@ -61,9 +64,12 @@
 	ReportsLag bool
 }
 
-// Choose returns the upstream for a request, or nil if there is none.
+// isUsable reports whether upstream i may get the request.
+func (c Choice) isUsable(i int) bool { return c.Usable == nil || c.Usable[i] }
+
+// Choose returns the upstream for a request, or nil if none is usable.
 func Choose(c Choice) *traffic.Upstream {
-	if len(c.Upstreams) == 0 {
+	if len(c.Upstreams) == 0 || c.Usable != nil && !slices.Contains(c.Usable, true) {
 		return nil
 	}
 	if c.Cacheable {
@@ -122,7 +128,7 @@
 	for {
 		for i, u := range c.Upstreams {
 			score := routing.RendezvousScore(c.Key, u.Hash)
-			if (len(order) == n && score <= scores[n-1]) || !plan.takes(score, u, c.prefillCost()) || !c.accepts(limit, i) {
+			if !c.isUsable(i) || (len(order) == n && score <= scores[n-1]) || !plan.takes(score, u, c.prefillCost()) || !c.accepts(limit, i) {
 				continue
 			}
 			if len(order) < n {
--- a/jackdawd/internal/placement/least_loaded.go
+++ b/jackdawd/internal/placement/least_loaded.go
@@ -30,10 +30,14 @@
 	return c.Upstreams[c.pickBelow(candidates, costs, fillLevel(costs, arrived))]
 }
 
-// notFull returns the indexes of the upstreams that are not full, or of all if all are full.
+// notFull returns the indexes of the usable upstreams that are not full, or of all usable ones if all
+// are full.
 func (c Choice) notFull() []int {
 	var open, all []int
 	for i, u := range c.Upstreams {
+		if !c.isUsable(i) {
+			continue
+		}
 		all = append(all, i)
 		if !c.Full(u) {
 			open = append(open, i)
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -11,8 +11,13 @@
 	"jackdawhinge/jackdawd/internal/work"
 )
 
-// reasonBackoff is the reason if all upstreams of a request have asked this host to back off.
-const reasonBackoff = "upstreams-pause"
+const (
+	// reasonBackoff is the reason if all upstreams of a request have asked this host to back off.
+	reasonBackoff = "upstreams-pause"
+	// reasonCold is the reason if all upstreams of a request are cold and have got as many requests
+	// as they bear.
+	reasonCold = "upstreams-cold"
+)
 
 // place selects an upstream that was not tried yet. It returns nil if there is none or the request
 // would start too late there.
@@ -24,19 +29,16 @@
 	if len(eligible) == 0 {
 		eligible = avoided
 	}
-	step := Step{Candidates: len(eligible), Avoided: avoidedCount, Cacheable: j.cacheable}
+	step := Step{Candidates: len(eligible), Avoided: avoidedCount, Cacheable: j.cacheable, Evacuated: j.snapshot.EvacuatedCount(j.pool.Name)}
 	j.setPrecedence()
-	choice := j.choice(eligible)
-	upstream := placement.Choose(choice)
+	choice, temperature := j.choice(eligible), j.temperature(eligible)
+	upstream := j.choose(&choice, temperature)
 	if upstream == nil {
-		step.Decision, step.Reason = Stopped, "no-upstream"
-		if backoff > 0 {
-			step.Reason = reasonBackoff
-			j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams want no requests for now").WithRetryAfter(backoff)
-		}
+		step.Decision, step.Reason = Stopped, j.refuseWithoutUpstream(temperature, backoff)
 		j.addStep(step)
 		return nil
 	}
+	step.Cold = temperature.Cold != nil && !j.snapshot.ColdUntil(upstream.ID).IsZero()
 	j.delay = j.expectedDelay(upstream)
 	step.Upstream, step.Mean, step.Limit = upstream.ID, choice.Mean(), choice.Limit()
 	step.Load = j.Loads.Load(time.Now(), upstream)
@@ -56,12 +58,60 @@
 	return upstream
 }
 
+// temperature tells warm and cold upstreams apart. Upstreams that bear as much while they are cold
+// count as warm.
+func (j *job) temperature(upstreams []*traffic.Upstream) placement.Temperature {
+	now, coldRate := time.Now(), j.pool.ColdRate
+	return placement.NewTemperature(upstreams, func(u *traffic.Upstream) bool {
+		return coldRate > 0 && j.snapshot.ColdUntil(u.ID).After(now)
+	}, func(u *traffic.Upstream) bool {
+		return j.ColdLimiter.Accepts(now, u, coldRate)
+	})
+}
+
+// choose returns the upstream for the request, or nil if there is none that may get it. A request
+// that would start too late at a warm upstream goes to a cold one if that may get it.
+func (j *job) choose(choice *placement.Choice, temperature placement.Temperature) *traffic.Upstream {
+	usable, ok := temperature.Usable(choice.LoadMultiple, rand.Float64())
+	if !ok {
+		return nil
+	}
+	choice.Usable = usable
+	upstream := placement.Choose(*choice)
+	if upstream != nil && temperature.HasOpenCold() && choice.Full(upstream) {
+		choice.Usable = temperature.Cold
+		upstream = placement.Choose(*choice)
+	}
+	now := time.Now()
+	if upstream == nil || temperature.Cold == nil || !j.snapshot.ColdUntil(upstream.ID).After(now) {
+		return upstream
+	}
+	if !j.ColdLimiter.Take(now, upstream, j.pool.ColdRate) {
+		return nil
+	}
+	return upstream
+}
+
+// refuseWithoutUpstream sets the refusal of a request that no upstream may get, and returns the
+// reason.
+func (j *job) refuseWithoutUpstream(temperature placement.Temperature, backoff time.Duration) string {
+	switch {
+	case temperature.AllCold():
+		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams have just started").WithRetryAfter(retryAfterFull)
+		return reasonCold
+	case backoff > 0:
+		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams want no requests for now").WithRetryAfter(backoff)
+		return reasonBackoff
+	}
+	return "no-upstream"
+}
+
 // choice returns the inputs for the selection of an upstream.
 func (j *job) choice(upstreams []*traffic.Upstream) placement.Choice {
 	return placement.Choice{
 		Upstreams: upstreams, Loads: j.Loads.All(time.Now(), upstreams), Key: j.affinityKey, Cacheable: j.cacheable,
 		Delay: j.expectedDelay, Stuck: j.isStuck, MaxDelay: j.maxDelay(),
-		FailureDomain: j.FailureDomain, LoadMultiple: j.LoadMultiple(), Hosts: j.HostCount(), Random: rand.Uint64(),
+		FailureDomain: j.FailureDomain, LoadMultiple: j.LoadMultiple(j.pool.Name), Hosts: j.HostCount(), Random: rand.Uint64(),
 		Plan: j.Balancer.LocalPlan(time.Now()), Pool: j.pool.Name, ReportsLag: j.RequestStats.ReportsLag(time.Now(), j.pool.Name),
 		Lifetime: j.RequestStats.MeanLifetime(time.Now(), j.pool.Name), SharedTokens: j.request.SharedTokens(), MeanDuration: j.RequestStats.MeanDuration(j.route.Name),
 	}
--- a/jackdawd/internal/relay/record.go
+++ b/jackdawd/internal/relay/record.go
@@ -49,6 +49,10 @@
 	// Candidates counts the eligible upstreams, Avoided those that are avoided for recent failures.
 	Candidates int
 	Avoided    int
+	// Cold is set if the selected upstream was cold, Evacuated is how many upstreams were left out
+	// because their failure domains are evacuated.
+	Cold      bool
+	Evacuated int
 	// Load is the known load of the selected upstream, Mean the mean of its pool, and Limit the
 	// maximum at which it may take one more request.
 	Load  placement.Load
--- a/jackdawd/internal/requestlog/writer.go
+++ b/jackdawd/internal/requestlog/writer.go
@@ -111,12 +111,17 @@
 		if step.FetchFrom != "" {
 			fields["fetch-from"] = step.FetchFrom
 		}
+		if step.Cold {
+			fields["cold"] = true
+		}
+		addEvacuated(fields, step)
 	case relay.Tried:
 		fields["verdict"] = step.Verdict
 	case relay.Resumed:
 		fields["resume-after"] = step.ResumeAfter
 	case relay.Stopped:
 		fields["reason"] = step.Reason
+		addEvacuated(fields, step)
 		if step.MaxDelay > 0 {
 			fields["delay"], fields["patience"] = step.Delay.String(), step.MaxDelay.String()
 		}
@@ -135,6 +140,13 @@
 	}
 }
 
+// addEvacuated adds how many upstreams were left out because their failure domains are evacuated.
+func addEvacuated(fields logrus.Fields, step relay.Step) {
+	if step.Evacuated > 0 {
+		fields["evacuated"] = step.Evacuated
+	}
+}
+
 var stepMessages = map[relay.Decision]string{
 	relay.Placed:  "relay: Placed.",
 	relay.Tried:   "relay: Attempt ended.",
@@ -182,6 +194,9 @@
 		switch step.Decision {
 		case relay.Placed:
 			w.countPrompt(step)
+			if step.Cold {
+				w.meter.Count("requests_to_cold_upstreams")
+			}
 		case relay.Tried:
 			w.meter.Count("tries", "verdict", step.Verdict)
 		case relay.Retried, relay.Resumed:
