--- a/soak/internal/plan/plan.go
+++ b/soak/internal/plan/plan.go
@@ -58,9 +58,11 @@
 	DropIdle Kind = "drop-idle"
 	// RestoreStore restores the store from an older snapshot.
 	RestoreStore Kind = "restore-store"
+	// EvacuateDomain evacuates a failure domain, whose upstreams are cold afterwards.
+	EvacuateDomain Kind = "evacuate-domain"
 )
 
-// drawnKinds are all kinds but RestoreStore, which has its own random stream. Their order and
+// drawnKinds are all kinds but RestoreStore and EvacuateDomain, which have their own random streams. Their order and
 // number decide the plan of a seed.
 var drawnKinds = []Kind{
 	PauseHost, KillHost, StopHost, HangUp, StoreFails, StoreLimits, StoreSilent, StoreTorn, StoreSlow, StoreForgets,
@@ -102,6 +104,12 @@
 	// restoreStream is a separate random stream for restores, so that they do not change the other
 	// faults of a seed.
 	restoreStream = 1
+	// evacuationPercent is the percentage of plans that evacuate failure domains,
+	// evacuationStream their random stream.
+	evacuationPercent = 60
+	evacuationStream  = 2
+	// evacuationDuration is longer than hosts may take to learn of an evacuation.
+	evacuationDuration = 6 * time.Second
 )
 
 // Generate returns the plan of a seed, sorted by start, for a fault phase of the given length.
@@ -124,6 +132,7 @@
 		at += time.Duration(random.Int64N(int64(2 * meanFaultInterval)))
 	}
 	faults = append(faults, generateRestores(seed, length)...)
+	faults = append(faults, generateEvacuations(seed, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return slices.DeleteFunc(faults, func(f Fault) bool { return f.Start >= length })
 }
@@ -143,3 +152,23 @@
 	}
 	return slices.DeleteFunc(faults, func(f Fault) bool { return f.End() > length })
 }
+
+// generateEvacuations returns the evacuations in the plan of a seed: none, one, or two that overlap.
+func generateEvacuations(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, evacuationStream))
+	if length <= firstFaultStart || random.IntN(100) >= evacuationPercent {
+		return nil
+	}
+	latestStart := max(length-evacuationDuration, firstFaultStart+minFaultDuration)
+	f := Fault{Kind: EvacuateDomain, Start: firstFaultStart + time.Duration(random.Int64N(int64(latestStart-firstFaultStart))), Target: random.IntN(targetRange)}
+	faults := []Fault{f}
+	if random.IntN(100) < repeatPercent {
+		f.Start += time.Duration(random.Int64N(int64(evacuationDuration)))
+		f.Target++
+		faults = append(faults, f)
+	}
+	for i := range faults {
+		faults[i].Duration = min(evacuationDuration, max(length-faults[i].Start, 0))
+	}
+	return faults
+}
--- a/soak/internal/rig/operator.go
+++ b/soak/internal/rig/operator.go
@@ -22,10 +22,12 @@
 	addedRoutes int
 	keys        []string
 	revokedKeys []string
+	// evacuated holds whether each failure domain that ever was is evacuated now.
+	evacuated map[string]bool
 }
 
 func newOperator(store *standin.Store) *operator {
-	o := &operator{store: store, version: 1}
+	o := &operator{store: store, version: 1, evacuated: map[string]bool{}}
 	for n := range initialKeyCount {
 		o.keys = append(o.keys, fmt.Sprintf("key-%d", n))
 	}
@@ -70,11 +72,27 @@
 	return verdict.Change{At: time.Now(), RevokedKey: revoked}
 }
 
-// republish writes the newest configuration to the store again, with the same version.
+// republish writes the newest configuration and the evacuations in force to the store again.
 func (o *operator) republish() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.publish()
+	for domain, evacuated := range o.evacuated {
+		o.store.SetEvacuated(domain, evacuated)
+	}
+}
+
+// setEvacuated evacuates a failure domain, or ends its evacuation, and reports whether that changes
+// anything.
+func (o *operator) setEvacuated(domain string, evacuated bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.evacuated[domain] == evacuated {
+		return false
+	}
+	o.evacuated[domain] = evacuated
+	o.store.SetEvacuated(domain, evacuated)
+	return true
 }
 
 // publishNext publishes the configuration under the next version; the lock must be held.
@@ -98,7 +116,7 @@
 	}
 	o.store.PutConfiguration(standin.EncodeConfiguration(traffic.ConfigurationInput{
 		Version: o.version, Routes: routes, Keys: keys,
-		Pools:  []traffic.Pool{{Name: "mailbox", MaxConnections: 200}, {Name: "reader", MaxConnections: 200, Engine: true, Slots: 8}},
+		Pools:  []traffic.Pool{{Name: "mailbox", MaxConnections: 200}, {Name: "reader", MaxConnections: 200, Engine: true, Slots: 8, ColdStart: coldStart, ColdRate: coldRate}},
 		Limits: traffic.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}))
 }
--- a/soak/internal/rig/upstream.go
+++ b/soak/internal/rig/upstream.go
@@ -16,6 +16,21 @@
 // heartbeatInterval is how often upstreams write their entries to the store.
 const heartbeatInterval = 1200 * time.Millisecond
 
+// Engines are cold for coldStart after a restart or an evacuation. They then bear coldRate requests
+// per second, and crash if more than verdict.MaxColdRequests arrive within a second.
+const (
+	coldStart = 3 * time.Second
+	coldRate  = 4
+)
+
+// failureDomains are those of upstreams and hosts.
+var failureDomains = []string{"a", "b"}
+
+// engineService is the service whose upstreams are model engines, services are both.
+const engineService = "reader"
+
+var services = []string{engineService, "mailbox"}
+
 // An Upstream is a stand-in runner behind a proxy. After a crash or a drain it is started again as
 // another incarnation, with its own id, runner and proxy.
 type Upstream struct {
@@ -73,6 +88,9 @@
 	u.runner = standin.NewRunner(u.id, 8)
 	u.runners, u.ids = append(u.runners, u.runner), append(u.ids, u.id)
 	u.server, u.proxy, u.state = &http.Server{Handler: u.runner}, proxy, "ready"
+	if len(u.runners) > 1 {
+		u.setCold()
+	}
 	server := u.server
 	u.mu.Unlock()
 	go func() {
@@ -91,7 +109,39 @@
 		return
 	}
 	u.heartbeats++
-	u.store.PutEntry(u.id, u.runner.EntryWithSequence(u.service, u.proxy.Address(), "a", u.state, u.heartbeats))
+	u.store.PutEntry(u.id, u.runner.EntryWithSequence(u.service, u.proxy.Address(), u.failureDomain(), u.state, u.heartbeats))
+}
+
+// failureDomain returns the failure domain; the upstreams of each service are spread over both.
+func (u *Upstream) failureDomain() string {
+	return failureDomains[u.index/len(services)%len(failureDomains)]
+}
+
+// TurnCold makes the current incarnation cold if it is an engine.
+func (u *Upstream) TurnCold() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.setCold()
+}
+
+// setCold makes the current incarnation cold if it is an engine; the lock must be held.
+func (u *Upstream) setCold() {
+	if u.service == engineService {
+		u.runner.SetCold(coldStart, verdict.MaxColdRequests)
+	}
+}
+
+// ColdCrashes returns the incarnations that crashed because they got too many requests while cold.
+func (u *Upstream) ColdCrashes() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var crashed []string
+	for i, r := range u.runners {
+		if r.Crashed() {
+			crashed = append(crashed, u.ids[i])
+		}
+	}
+	return crashed
 }
 
 // removeStaleEntries removes the entries of past incarnations, which a restored snapshot may
@@ -151,7 +201,7 @@
 	var out []verdict.Execution
 	for i, r := range u.runners {
 		for _, run := range r.Runs() {
-			out = append(out, verdict.Execution{ID: run.ID, Pool: u.service, Upstream: u.ids[i], Started: run.Started, Ended: run.Ended})
+			out = append(out, verdict.Execution{ID: run.ID, Pool: u.service, Upstream: u.ids[i], FailureDomain: u.failureDomain(), Started: run.Started, Ended: run.Ended})
 		}
 	}
 	return out
--- a/soak/internal/verdict/checks.go
+++ b/soak/internal/verdict/checks.go
@@ -17,6 +17,10 @@
 	MaxRevocationDelay = 5 * time.Second
 	// MaxDrainDelay is how long a draining upstream may get new requests.
 	MaxDrainDelay = 2 * time.Second
+	// MaxEvacuationDelay is how long the upstreams of an evacuated failure domain may get requests.
+	MaxEvacuationDelay = 3 * time.Second
+	// MaxColdRequests is how many requests a cold upstream may get within a second.
+	MaxColdRequests = 11
 	// timingSlack is added to MaxConfigDelay and MaxDrainDelay, as all processes share one machine.
 	timingSlack = 500 * time.Millisecond
 	// MaxRetryRatio and retryBurst bound the retries of all hosts together.
@@ -49,7 +53,7 @@
 
 // Check returns all violations of the guarantees in a record.
 func Check(r *Record) []Violation {
-	checks := []func(*Record) []Violation{checkResponses, checkAtMostOnce, checkRefusals, checkRetries, checkDrain, checkRouteAdded, checkNoRollback, checkRevocation, checkRecovery, checkGracefulStop, checkLoadBound, checkConvergence}
+	checks := []func(*Record) []Violation{checkResponses, checkAtMostOnce, checkRefusals, checkRetries, checkDrain, checkRouteAdded, checkNoRollback, checkRevocation, checkEvacuation, checkColdUpstreams, checkRecovery, checkGracefulStop, checkLoadBound, checkConvergence}
 	var all []Violation
 	for _, check := range checks {
 		all = append(all, check(r)...)
@@ -189,6 +193,34 @@
 	return out
 }
 
+// checkEvacuation checks that hosts that can read the store send nothing to an evacuated failure
+// domain.
+func checkEvacuation(r *Record) (out []Violation) {
+	exchanges := map[string]Exchange{}
+	for _, e := range r.Exchanges {
+		exchanges[e.ID] = e
+	}
+	for _, c := range r.Changes {
+		for _, execution := range r.Executions {
+			e, known := exchanges[execution.ID]
+			late := execution.Started.Sub(c.At) > MaxEvacuationDelay+timingSlack && execution.Started.Before(c.EvacuatedUntil)
+			if c.EvacuatedDomain != "" && execution.FailureDomain == c.EvacuatedDomain && known && late && r.undisturbed(e.Host, execution.Started, SettleTime+MaxEvacuationDelay) {
+				out = append(out, Violation{"evacuation", fmt.Sprintf("%s reached %s %s after its failure domain was evacuated", e.ID, execution.Upstream, execution.Started.Sub(c.At))})
+			}
+		}
+	}
+	return out
+}
+
+// checkColdUpstreams checks that no cold upstream got more requests than it bears, whatever happened
+// to the hosts.
+func checkColdUpstreams(r *Record) (out []Violation) {
+	for _, upstream := range r.ColdCrashes {
+		out = append(out, Violation{"cold upstreams", upstream + " crashed because it got too many requests while it was cold"})
+	}
+	return out
+}
+
 // checkRecovery checks that requests are served again after the last fault.
 func checkRecovery(r *Record) []Violation {
 	sent, served := 0, 0
--- a/soak/internal/verdict/checks_test.go
+++ b/soak/internal/verdict/checks_test.go
@@ -50,6 +50,11 @@
 			}
 		}},
 		"request to a draining upstream": {"drain", func(r *Record) { r.Changes = append(r.Changes, Change{At: at(10), DrainingUpstream: "u1"}) }},
+		"request to an evacuated failure domain": {"evacuation", func(r *Record) {
+			r.Executions[2].FailureDomain = "a"
+			r.Changes = append(r.Changes, Change{At: at(10), EvacuatedDomain: "a", EvacuatedUntil: at(21)})
+		}},
+		"too many requests to a cold upstream": {"cold upstreams", func(r *Record) { r.ColdCrashes = []string{"u1"} }},
 		"added route unknown": {"in force", func(r *Record) {
 			r.Changes = append(r.Changes, Change{At: at(10), RouteNumber: 4})
 			r.Exchanges = append(r.Exchanges, Exchange{ID: "p", Route: Probe, RouteNumber: 4, Sent: at(14), Ended: at(14), Status: http.StatusNotFound})
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -52,7 +52,9 @@
 	ID       string
 	Pool     string
 	Upstream string
-	Started  time.Time
+	// FailureDomain is the upstream's.
+	FailureDomain string
+	Started       time.Time
 	// Ended is zero if the execution did not end normally.
 	Ended time.Time
 }
@@ -68,10 +70,13 @@
 // store.
 type Change struct {
 	At time.Time
-	// One of these is set: a key that was revoked, an added route, or an upstream that drains.
+	// One of these is set: a key that was revoked, an added route, an upstream that drains, or a
+	// failure domain that was evacuated until a time.
 	RevokedKey       string
 	RouteNumber      int
 	DrainingUpstream string
+	EvacuatedDomain  string
+	EvacuatedUntil   time.Time
 }
 
 // HostView is what a host reports about the fleet and the store.
@@ -95,9 +100,11 @@
 	// GracefulStops are the grace periods of stopped hosts.
 	GracefulStops []Interval
 	Changes       []Change
-	FaultEnd      time.Time
-	End           time.Time
-	Hosts         int
+	// ColdCrashes are the upstreams that crashed because they got too many requests while cold.
+	ColdCrashes []string
+	FaultEnd    time.Time
+	End         time.Time
+	Hosts       int
 	// HostViews are the views of all hosts at the end, StoreRestores how often the store was
 	// restored from a snapshot.
 	HostViews     []HostView
