--- a/common/register/record.go
+++ b/common/register/record.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 
 	"jackdawhinge/common/journal"
 	"jackdawhinge/common/targets"
@@ -99,7 +100,8 @@
 	if err := decoder.Decode(v); err != nil {
 		return err
 	}
-	if decoder.More() {
+	// More says nothing of a closing brace or bracket.
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return errors.New("unexpected data after the end of the JSON value")
 	}
 	return nil
