--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -127,7 +127,7 @@
 	return entry.Bounds{
 		Bounds:      membership.Bounds{MaxRevocationDelay: b.MaxRevocationDelay, MaxConfigurationAge: b.MaxConfigurationAge, MaxDrainDelay: b.MaxDrainDelay, EntryTTL: b.EntryTTL},
 		GracePeriod: b.GracePeriod,
-		RetryRatio:  b.RetryRatio, LoadMultiple: b.LoadMultiple,
+		RetryRatio:  b.RetryRatio, RetryWindow: b.RetryWindow, LoadMultiple: b.LoadMultiple,
 		ColdTolerance: placement.ColdTolerance{Overrun: b.ColdOverrun, Slack: b.ColdSlack},
 	}
 }
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -90,8 +90,10 @@
 	membership.Bounds
 	// GracePeriod is how long a stop may take.
 	GracePeriod time.Duration
-	// RetryRatio is the ratio of retries to requests that all hosts together may send.
-	RetryRatio float64
+	// RetryRatio is the ratio of retries to requests that all hosts together may send within any
+	// RetryWindow.
+	RetryRatio  float64
+	RetryWindow time.Duration
 	// LoadMultiple is the maximum load of an upstream as a multiple of the mean load.
 	LoadMultiple float64
 	// ColdTolerance is how many requests a cold upstream may get within a second.
@@ -137,7 +139,7 @@
 	h.source.Start(h.tracker)
 	h.coldLimiter = placement.NewColdLimiter(o.Name, func() []string { return h.source.Directory().KnownNames() }, func() placement.ColdTolerance { return h.bounds.Load().ColdTolerance })
 	h.client = exchange.NewClient(o.Protocol, nil)
-	h.budgets = relay.NewRetryBudgets(o.Bounds.RetryRatio)
+	h.budgets = relay.NewRetryBudgets(o.Bounds.RetryRatio, o.Bounds.RetryWindow)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Membership: h.tracker, Client: h.client, Loads: h.loads, Balancer: h.balancer, CacheLocations: placement.NewCacheLocations(), RequestStats: placement.NewRequestStats(),
 		RetryBudgets: h.budgets, Admission: admission.NewController(), Quarantine: h.quarantine, Backoffs: relay.NewBackoffs(), ColdLimiter: h.coldLimiter, Recorder: requestlog.NewWriter(o.RoutineLogger, o.AnomalyLogger, o.Meter),
@@ -197,7 +199,7 @@
 func (h *Host) SetBounds(b Bounds) {
 	h.bounds.Store(&b)
 	h.tracker.SetBounds(b.Bounds)
-	h.budgets.SetRatio(b.RetryRatio)
+	h.budgets.SetRatio(b.RetryRatio, b.RetryWindow)
 }
 
 // createServers creates the HTTP servers. Callers may use every path, so requests bypass the
--- a/jackdawd/internal/relay/budgets.go
+++ b/jackdawd/internal/relay/budgets.go
@@ -2,8 +2,7 @@
 
 import (
 	"sync"
-
-	"jackdawhinge/jackdawd/internal/dispatch"
+	"time"
 )
 
 const (
@@ -11,56 +10,124 @@
 	// requests. Hosts do not know each other's retries; if each stays below the ratio of its own
 	// requests, the fleet does too.
 	hostRatioFactor = 0.75
-	// maxBurst is how many retries a host may make at once, and how many it starts with.
-	maxBurst = 2
+	// minRetries is how many retries a host may make within the window whatever its requests.
+	minRetries = 2
+	// budgetSlot is the resolution of the window.
+	budgetSlot = time.Second
 )
 
-// RetryBudgets holds a retry budget for each pool. It is safe for concurrent use.
+// RetryBudgets limits the retries to each pool within a sliding window, by the requests to the pool
+// in that window. It is safe for concurrent use.
+//
+// When part of a pool's requests fail from one moment to the next, the first seconds may use what the
+// window before has left. A budget that allows a steady rate refused half of the retries that the
+// operators' bound has room for.
 type RetryBudgets struct {
-	ratio  float64
 	mu     sync.Mutex
-	byPool map[string]*dispatch.RetryBudget
+	ratio  float64
+	window time.Duration
+	byPool map[string]*retryWindow
+}
+
+// retryWindow counts requests and retries by the slot of their time.
+type retryWindow struct {
+	slots []retrySlot
+}
+
+type retrySlot struct {
+	number   int64
+	requests int
+	retries  int
 }
 
-// NewRetryBudgets returns budgets for a ratio of retries to requests that the whole fleet must keep.
-func NewRetryBudgets(ratio float64) *RetryBudgets {
-	return &RetryBudgets{ratio: ratio * hostRatioFactor, byPool: map[string]*dispatch.RetryBudget{}}
+// NewRetryBudgets returns budgets for a ratio of retries to requests that the whole fleet must keep
+// within each window.
+func NewRetryBudgets(ratio float64, window time.Duration) *RetryBudgets {
+	b := &RetryBudgets{}
+	b.SetRatio(ratio, window)
+	return b
 }
 
-// SetRatio changes the fleet's retry ratio; a different ratio resets all budgets.
-func (b *RetryBudgets) SetRatio(ratio float64) {
+// SetRatio changes the fleet's retry ratio and window; other values reset all budgets.
+func (b *RetryBudgets) SetRatio(ratio float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if ratio*hostRatioFactor != b.ratio {
-		b.ratio = ratio * hostRatioFactor
-		clear(b.byPool)
+	if ratio == b.ratio && window == b.window && b.byPool != nil {
+		return
 	}
+	b.ratio, b.window, b.byPool = ratio, window, map[string]*retryWindow{}
 }
 
-// Deposit adds the retry credit of one request to a pool's budget.
-func (b *RetryBudgets) Deposit(pool string) { b.pool(pool).Deposit() }
+// Deposit counts a request to a pool.
+func (b *RetryBudgets) Deposit(now time.Time, pool string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pool(pool).slot(now).requests++
+}
 
-// TryWithdraw takes one retry from a pool's budget and reports whether there was one.
-func (b *RetryBudgets) TryWithdraw(pool string) bool { return b.pool(pool).TryWithdraw() }
+// TryWithdraw counts a retry at a pool and reports whether the budget allows it.
+func (b *RetryBudgets) TryWithdraw(now time.Time, pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.remaining(now, b.pool(pool)) < 1 {
+		return false
+	}
+	b.pool(pool).slot(now).retries++
+	return true
+}
 
 // Remaining returns the number of retries that remain, by pool.
 func (b *RetryBudgets) Remaining() map[string]int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	remaining := map[string]int64{}
-	for name, budget := range b.byPool {
-		remaining[name] = int64(budget.Balance())
+	remaining, now := map[string]int64{}, time.Now()
+	for name, w := range b.byPool {
+		remaining[name] = int64(b.remaining(now, w))
 	}
 	return remaining
 }
 
-func (b *RetryBudgets) pool(name string) *dispatch.RetryBudget {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	budget, ok := b.byPool[name]
+// remaining returns the number of retries that remain within a window; the lock must be held.
+func (b *RetryBudgets) remaining(now time.Time, w *retryWindow) float64 {
+	requests, retries := w.count(slotNumber(now))
+	return hostRatioFactor*b.ratio*float64(requests) + minRetries - float64(retries)
+}
+
+// pool returns the window of a pool; the lock must be held.
+func (b *RetryBudgets) pool(name string) *retryWindow {
+	w, ok := b.byPool[name]
 	if !ok {
-		budget = dispatch.NewRetryBudgetWithRatio(b.ratio, maxBurst)
-		b.byPool[name] = budget
+		// One more slot than the window has, as the first one is only partly in it.
+		w = &retryWindow{slots: make([]retrySlot, max(int(b.window/budgetSlot), 1)+1)}
+		b.byPool[name] = w
+	}
+	return w
+}
+
+func slotNumber(now time.Time) int64 { return now.UnixNano() / int64(budgetSlot) }
+
+// slot returns the slot of a time, and drops the one that it replaces.
+func (w *retryWindow) slot(now time.Time) *retrySlot {
+	number := slotNumber(now)
+	s := &w.slots[int(number%int64(len(w.slots)))]
+	if s.number != number {
+		*s = retrySlot{number: number}
+	}
+	return s
+}
+
+// count returns the requests and retries up to a slot. Retries count for a slot longer than requests,
+// so that the ratio holds for windows that begin within a slot.
+func (w *retryWindow) count(current int64) (requests, retries int) {
+	for _, s := range w.slots {
+		age := current - s.number
+		if age < 0 || age >= int64(len(w.slots)) {
+			continue
+		}
+		retries += s.retries
+		if age < int64(len(w.slots))-1 {
+			requests += s.requests
+		}
 	}
-	return budget
+	return requests, retries
 }
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -129,7 +129,7 @@
 	}
 	j.pool, _ = j.snapshot.Configuration().Pool(j.route.PickPool(j.affinityKey))
 	j.cacheable = j.cacheable && j.pool.Engine
-	j.RetryBudgets.Deposit(j.pool.Name)
+	j.RetryBudgets.Deposit(j.arrived, j.pool.Name)
 	j.priorWait = j.Admission.WaitedBeforeRetry(j.route.Name, j.request.TimeLeft)
 	j.Admission.RecordArrival(time.Now(), j.admissionRequest())
 	var last result
@@ -198,7 +198,7 @@
 		return "upstreams-bounded"
 	case !safe:
 		return "may-have-run"
-	case !j.RetryBudgets.TryWithdraw(j.pool.Name):
+	case !j.RetryBudgets.TryWithdraw(time.Now(), j.pool.Name):
 		return "budget-spent"
 	}
 	return ""
