--- a/jackdawd/internal/entry/admin.go
+++ b/jackdawd/internal/entry/admin.go
@@ -97,7 +97,7 @@
 	if !ok {
 		return report.Explanation{}, false
 	}
-	explanation := report.Explanation{Host: h.options.Name, Model: pool, LoadMultiple: h.loadMultiple(pool)}
+	explanation := report.Explanation{Host: h.options.Name, Model: pool, LoadMultiple: h.loadMultiple()}
 	ranked := placement.Rank(xxhash.Sum64String(sharedPart), upstreams)
 	explanation.Candidates = h.describeUpstreams(pool, ranked[:min(len(ranked), maxExplainedCandidates)])
 	return explanation, true
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -74,7 +74,7 @@
 	bounds, now := map[string]int64{}, time.Now()
 	plan := h.balancer.LocalPlan(now)
 	for name, pool := range h.tracker.Snapshot().ReadyPools() {
-		choice := placement.Choice{Loads: h.loads.All(now, pool), LoadMultiple: h.loadMultiple(name), Plan: plan, Pool: name}
+		choice := placement.Choice{Loads: h.loads.All(now, pool), LoadMultiple: h.loadMultiple(), Plan: plan, Pool: name}
 		bounds[name] = int64(choice.Limit())
 	}
 	return bounds
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -186,14 +186,7 @@
 
 func (h *Host) maxConfigurationAge() time.Duration { return h.bounds.Load().MaxConfigurationAge }
 
-// loadMultiple returns how many times the mean load of a pool's ready upstreams one of them may
-// carry. Operators bound the load by the mean of all upstreams; those of evacuated failure domains
-// are idle and lower it.
-func (h *Host) loadMultiple(pool string) float64 {
-	snapshot := h.tracker.Snapshot()
-	ready, evacuated := float64(len(snapshot.ReadyUpstreams(pool))), float64(snapshot.EvacuatedCount(pool))
-	return h.bounds.Load().LoadMultiple * ready / max(ready+evacuated, 1)
-}
+func (h *Host) loadMultiple() float64 { return h.bounds.Load().LoadMultiple }
 
 // SetBounds replaces the bounds.
 func (h *Host) SetBounds(b Bounds) {
--- a/jackdawd/internal/placement/balancer.go
+++ b/jackdawd/internal/placement/balancer.go
@@ -48,8 +48,8 @@
 	// local is the plan resolved against the engines that this host knows.
 	local *LocalPlan
 
-	// loadMultiple returns how many times the mean load of a pool's engines one may carry.
-	loadMultiple func(pool string) float64
+	// loadMultiple returns how many times the mean load an engine may carry.
+	loadMultiple func() float64
 	// states, ceilings (by pool), prompts and lastComputedAt carry over from plan to plan.
 	states         map[uint32]*engineState
 	ceilings       map[string]*ceiling
@@ -58,8 +58,8 @@
 }
 
 // NewBalancer returns a balancer without a plan. listEngines returns the engines that take new
-// requests, by pool, and loadMultiple how many times the mean load of a pool's engines one may carry.
-func NewBalancer(loads *Loads, listEngines func() map[string][]*traffic.Upstream, loadMultiple func(pool string) float64) *Balancer {
+// requests, by pool, and loadMultiple how many times the mean load an engine may carry.
+func NewBalancer(loads *Loads, listEngines func() map[string][]*traffic.Upstream, loadMultiple func() float64) *Balancer {
 	return &Balancer{
 		loads: loads, listEngines: listEngines, loadMultiple: loadMultiple, inProgress: map[uint32]int{}, ceilings: map[string]*ceiling{},
 		states: map[uint32]*engineState{}, prompts: map[uint32]float64{},
@@ -207,7 +207,7 @@
 	for i, u := range engines {
 		loads[i] = float64(inProgress[u.ShortHash()&WireHashMask])
 	}
-	c.observe(loads, cappedMean(loads), b.loadMultiple(pool), now.Sub(b.lastComputedAt))
+	c.observe(loads, cappedMean(loads), b.loadMultiple(), now.Sub(b.lastComputedAt))
 	return c.forMean(mean)
 }
 
--- a/jackdawd/internal/placement/ceiling.go
+++ b/jackdawd/internal/placement/ceiling.go
@@ -30,9 +30,8 @@
 // bound requires. In a fleet of eight hosts, where each sees much of the load itself, it rises
 // until prompts stay where they are.
 type ceiling struct {
-	headroom     float64
-	excessRatio  float64
-	loadMultiple float64
+	headroom    float64
+	excessRatio float64
 }
 
 func newCeiling() *ceiling { return &ceiling{headroom: initialHeadroom} }
@@ -40,12 +39,6 @@
 // observe adjusts the headroom by the current loads of the pool's engines. elapsed is the time
 // since the previous call.
 func (c *ceiling) observe(loads []float64, mean, loadMultiple float64, elapsed time.Duration) {
-	if loadMultiple < c.loadMultiple {
-		// While a failure domain is evacuated, the others may carry less. The headroom found before
-		// is too large, and lowering it step by step would take seconds.
-		c.headroom = min(c.headroom, initialHeadroom)
-	}
-	c.loadMultiple = loadMultiple
 	excess, total := 0.0, 0.0
 	for _, load := range loads {
 		total += load
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -16,6 +16,10 @@
 	// maxExtraReplicas is how many additional engines serve a prompt in a large fleet while load
 	// reports lag behind the requests. With four engines, loads differ by half as much.
 	maxExtraReplicas = 3
+	// evenReplicas is how many engines serve a prompt while loads must be evened out, and
+	// maxSpreadCost the prefill cost from which a prompt stays on one engine all the same.
+	evenReplicas  = 4
+	maxSpreadCost = 0.5
 	// longPromptTokens is the length from which a prompt gets no additional engines, as computing it
 	// would hold up the queued requests on each of them.
 	longPromptTokens = 8000
@@ -60,6 +64,9 @@
 	Plan *LocalPlan
 	// Pool is the name of the upstreams' pool.
 	Pool string
+	// EvenOut is set while upstreams of the pool are evacuated. They are idle and lower the mean load
+	// that bounds the others, so that these may differ less.
+	EvenOut bool
 	// ReportsLag is set if requests arrive or end faster than hosts can report them to each other.
 	ReportsLag bool
 }
@@ -88,6 +95,11 @@
 // responses. In a surge of twelve times the usual load, engines then recomputed three times as many
 // prompt parts as with one engine per prompt.
 func (c Choice) chooseByAffinity() *traffic.Upstream {
+	if c.EvenOut && c.prefillCost() < maxSpreadCost {
+		if replicas := c.candidates(evenReplicas, false); len(replicas) > 1 {
+			return c.chooseLeastLoaded(replicas)
+		}
+	}
 	first, second := c.firstTwoEngines()
 	switch {
 	case first < 0:
--- a/jackdawd/internal/placement/least_loaded.go
+++ b/jackdawd/internal/placement/least_loaded.go
@@ -16,8 +16,10 @@
 // The choice is random, weighted so that the loads become even by the next report: with fresh
 // reports only the lowest load is chosen, and with expired ones all upstreams are equally likely.
 // If each host took the lowest load by an old report, all of them would choose the same upstream.
-func (c Choice) chooseByLoad() *traffic.Upstream {
-	candidates := c.notFull()
+func (c Choice) chooseByLoad() *traffic.Upstream { return c.chooseLeastLoaded(c.notFull()) }
+
+// chooseLeastLoaded returns one of the least loaded of some candidates, given by their indexes.
+func (c Choice) chooseLeastLoaded(candidates []int) *traffic.Upstream {
 	costs, arrived := make([]float64, len(candidates)), 1.0
 	for n, i := range candidates {
 		remaining, arrivedHere := c.Loads[i].scaledByOwn(c.Hosts).project(c.Lifetime)
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -94,9 +94,8 @@
 	FailureDomain  string
 	// InSameRegion reports whether a failure domain is in this host's region.
 	InSameRegion func(failureDomain string) bool
-	// LoadMultiple returns how many times the mean load of the pool's upstreams that get new work
-	// one of them may carry.
-	LoadMultiple func(pool string) float64
+	// LoadMultiple returns how many times the mean load of its pool an upstream may carry.
+	LoadMultiple func() float64
 	// HostCount returns the number of hosts in the fleet.
 	HostCount func() int
 	// MaxTotalBodyBytes is the maximum size, in bytes, of the bodies of all requests in progress.
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -111,9 +111,10 @@
 	return placement.Choice{
 		Upstreams: upstreams, Loads: j.Loads.All(time.Now(), upstreams), Key: j.affinityKey, Cacheable: j.cacheable,
 		Delay: j.expectedDelay, Stuck: j.isStuck, MaxDelay: j.maxDelay(),
-		FailureDomain: j.FailureDomain, LoadMultiple: j.LoadMultiple(j.pool.Name), Hosts: j.HostCount(), Random: rand.Uint64(),
+		FailureDomain: j.FailureDomain, LoadMultiple: j.LoadMultiple(), Hosts: j.HostCount(), Random: rand.Uint64(),
 		Plan: j.Balancer.LocalPlan(time.Now()), Pool: j.pool.Name, ReportsLag: j.RequestStats.ReportsLag(time.Now(), j.pool.Name),
 		Lifetime: j.RequestStats.MeanLifetime(time.Now(), j.pool.Name), SharedTokens: j.request.SharedTokens(), MeanDuration: j.RequestStats.MeanDuration(j.route.Name),
+		EvenOut: j.snapshot.EvacuatedCount(j.pool.Name) > 0,
 	}
 }
 
