--- a/jackdawd/internal/placement/accept.go
+++ b/jackdawd/internal/placement/accept.go
@@ -20,7 +20,7 @@
 	prefillTokensPerSecond = 64000
 	// maxPrefillRatio is the ratio of prefill time to request duration from which a request counts
 	// as one of the most expensive to move.
-	maxPrefillRatio = 0.2
+	maxPrefillRatio = 0.1
 )
 
 // Limit returns how many requests an upstream may have for one more to be placed there.
