--- a/jackdawd/internal/membership/state.go
+++ b/jackdawd/internal/membership/state.go
@@ -147,6 +147,7 @@
 func (s *state) remove(id string) {
 	delete(s.upstreams, id)
 	delete(s.firstSeen, id)
+	delete(s.removeAt, id)
 	delete(s.coldUntil, id)
 	delete(s.assumedColdUntil, id)
 	s.changes.add(traffic.RemovedEntry(id))
@@ -159,7 +160,9 @@
 	if u.Incarnation == 0 && newest.incarnation != 0 {
 		// An upstream that reports its incarnation always does, so another writer has overwritten
 		// the entry, and its address may not be the upstream's.
-		s.removeAt[u.ID] = time.Time{}
+		if _, known := s.upstreams[u.ID]; known {
+			s.removeAt[u.ID] = time.Time{}
+		}
 		return false
 	}
 	order := versionOf(u).compare(newest)
--- a/jackdawd/internal/membership/state_test.go
+++ b/jackdawd/internal/membership/state_test.go
@@ -37,6 +37,41 @@
 	})
 }
 
+// Guards against hosts that are told twice that an upstream is gone, and so read a list again that has
+// not changed: it was replaced at its address while its entry had expired, or another writer
+// overwrote the entry that is left of it.
+func TestGoneUpstreamIsRemovedOnce(t *testing.T) {
+	for name, last := range map[string]traffic.UpstreamEntry{
+		"entry expired":     traffic.RemovedEntry("a"),
+		"entry overwritten": entry("a", 9, traffic.Ready),
+	} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, func(t *testing.T, tracker *Tracker, store *fakeStore, _ *atomic.Int64) {
+				first := entry("a", 1, traffic.Ready)
+				first.Upstream.Incarnation = 5
+				store.update(func(store *fakeStore) {
+					store.changes = []traffic.UpstreamChange{{Complete: true, Entries: []traffic.UpstreamEntry{first, entry("b", 1, traffic.Ready)}}}
+				})
+				time.Sleep(1600 * time.Millisecond)
+				tracker.inputs <- func(s *state) {
+					if last.Upstream == nil {
+						s.removeAt["a"] = time.Now().Add(time.Second)
+					}
+				}
+				tracker.RemoveReplaced(first.Upstream.Instance())
+				if last.Upstream != nil {
+					store.update(func(store *fakeStore) {
+						store.changes = []traffic.UpstreamChange{{Entries: []traffic.UpstreamEntry{last}}}
+					})
+				}
+				time.Sleep(5 * time.Second)
+				require.Equal(t, []string{"b"}, ids(tracker.Snapshot().AllUpstreams("reader")))
+				require.EqualValues(t, 3, tracker.Changes().End().Next, "two entries and one removal")
+			})
+		})
+	}
+}
+
 // While the store is unavailable, entries expire although their upstreams run. After the store's
 // return the upstreams are kept for two seconds, and removed if they do not write their entries
 // again.
