--- a/jackdawd/internal/delivery/client.go
+++ b/jackdawd/internal/delivery/client.go
@@ -44,9 +44,16 @@
 	}
 	noKeepAlive := transport.Clone()
 	noKeepAlive.DisableKeepAlives = true
-	return &Client{pooled: &http.Client{Transport: transport}, noKeepAlive: &http.Client{Transport: noKeepAlive}}
+	return &Client{
+		pooled:      &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+		noKeepAlive: &http.Client{Transport: noKeepAlive, CheckRedirect: keepRedirect},
+	}
 }
 
+// keepRedirect makes a redirect a response like any other. Following it would execute a request
+// elsewhere that the caller did not send, and after some redirects as another method.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
