--- a/jackdawd/internal/dispatch/service.go
+++ b/jackdawd/internal/dispatch/service.go
@@ -18,6 +18,9 @@
 
 const maxServiceResponseBytes = 8 << 20
 
+// errResponseTooLarge reports a response that was not read to its end.
+var errResponseTooLarge = fmt.Errorf("response is larger than %d bytes", maxServiceResponseBytes)
+
 // callService calls a plain service and delivers its response as one frame.
 func (o *Owner) callService(ctx context.Context, item *work.Item, u *routing.Upstream, sink delivery.Sink) error {
 	callCtx, cancel := context.WithTimeout(ctx, maxFirstFrameTimeout)
@@ -57,9 +60,12 @@
 	if id := resp.Header.Get(upstream.RequestIDHeader); id != "" && id != item.ID {
 		return nil, &delivery.UnexpectedFrameError{WantID: item.ID, GotID: id}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceResponseBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > maxServiceResponseBytes {
+		return nil, errResponseTooLarge
+	}
 	return &upstream.ServiceResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
