--- a/jackdawd/internal/fleet/load_bound_test.go
+++ b/jackdawd/internal/fleet/load_bound_test.go
@@ -18,6 +18,7 @@
 		hosts: 90, engines: 90, rate: 700, surgeFactor: 2, surgeFrom: 6 * time.Second, surgeUntil: 14 * time.Second, surgeKind: new(0),
 		replacedEngines: 40, replacedFrom: 4 * time.Second, replaceInterval: 800 * time.Millisecond, duration: 34 * time.Second,
 	},
+	"a quarter evacuated": {hosts: 87, engines: 140, rate: 690, evacuatedEngines: 35, evacuatedAt: 8 * time.Second, duration: 20 * time.Second},
 	"many engines":        {hosts: 87, engines: 60, rate: 560, duration: 20 * time.Second},
 	"few hosts":           {hosts: 9, engines: 18, rate: 140, duration: 20 * time.Second},
 	"few hosts, hot":      {hosts: 9, engines: 18, rate: 140, hotRatio: 0.3, hotFrom: 12 * time.Second, duration: 20 * time.Second},
--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -16,10 +16,14 @@
 	// maxExtraReplicas is how many additional engines serve a prompt in a large fleet while load
 	// reports lag behind the requests. With four engines, loads differ by half as much.
 	maxExtraReplicas = 3
-	// evenReplicas is how many engines serve a prompt while loads must be evened out, and
-	// maxSpreadCost the prefill cost from which a prompt stays on one engine all the same.
-	evenReplicas  = 4
-	maxSpreadCost = 0.5
+	// minIdleRatio is the ratio of idle upstreams from which the loads of the others must be evened
+	// out. With fewer, loads that differ as usual stay within the bound.
+	minIdleRatio = 0.2
+	// shortPromptReplicas is how many engines serve a short prompt then, and longPromptReplicas how
+	// many one with at least the prefill cost longPromptCost.
+	shortPromptReplicas = 4
+	longPromptReplicas  = 2
+	longPromptCost      = 0.5
 	// longPromptTokens is the length from which a prompt gets no additional engines, as computing it
 	// would hold up the queued requests on each of them.
 	longPromptTokens = 8000
@@ -64,9 +68,9 @@
 	Plan *LocalPlan
 	// Pool is the name of the upstreams' pool.
 	Pool string
-	// EvenOut is set while upstreams of the pool are evacuated. They are idle and lower the mean load
-	// that bounds the others, so that these may differ less.
-	EvenOut bool
+	// IdleRatio is the ratio of the pool's upstreams that get nothing for now, as they are evacuated
+	// or cold. They lower the mean load that bounds the others.
+	IdleRatio float64
 	// ReportsLag is set if requests arrive or end faster than hosts can report them to each other.
 	ReportsLag bool
 }
@@ -95,8 +99,8 @@
 // responses. In a surge of twelve times the usual load, engines then recomputed three times as many
 // prompt parts as with one engine per prompt.
 func (c Choice) chooseByAffinity() *traffic.Upstream {
-	if c.EvenOut && c.prefillCost() < maxSpreadCost {
-		if replicas := c.candidates(evenReplicas, false); len(replicas) > 1 {
+	if c.IdleRatio >= minIdleRatio {
+		if replicas := c.candidates(c.evenReplicas(), false); len(replicas) > 1 {
 			return c.chooseLeastLoaded(replicas)
 		}
 	}
@@ -112,6 +116,14 @@
 	return c.Upstreams[first]
 }
 
+// evenReplicas returns how many engines serve the prompt while loads must be evened out.
+func (c Choice) evenReplicas() int {
+	if c.prefillCost() < longPromptCost {
+		return shortPromptReplicas
+	}
+	return longPromptReplicas
+}
+
 // firstTwoEngines returns the indexes of the upstream that serves the prompt and of its fallback,
 // -1 for none. A prompt with several replicas uses one of them by the request's random number.
 func (c Choice) firstTwoEngines() (first, second int) {
--- a/jackdawd/internal/placement/choose_test.go
+++ b/jackdawd/internal/placement/choose_test.go
@@ -296,3 +296,31 @@
 		})
 	}
 }
+
+// Guards against engines above the load bound while others are idle and lower the mean: prompts are
+// spread by load, long ones over fewer engines.
+func TestPromptsAreSpreadWhileUpstreamsAreIdle(t *testing.T) {
+	for name, test := range map[string]struct {
+		idleRatio    float64
+		sharedTokens int
+		engines      int
+	}{
+		"none idle":                 {0, 700, 1},
+		"a few idle":                {0.1, 700, 1},
+		"a quarter idle":            {0.25, 700, shortPromptReplicas},
+		"a quarter idle, long one":  {0.25, 10_500, longPromptReplicas},
+		"three quarters idle":       {0.75, 700, shortPromptReplicas},
+		"three quarters, long one":  {0.75, 10_500, longPromptReplicas},
+		"a quarter idle, no prompt": {0.25, 0, shortPromptReplicas},
+	} {
+		t.Run(name, func(t *testing.T) {
+			upstreams, used := newUpstreams(30), map[string]bool{}
+			for n := range uint64(400) {
+				c := newPromptChoice(upstreams, make([]Load, len(upstreams)), 7)
+				c.IdleRatio, c.SharedTokens, c.MeanDuration, c.Random = test.idleRatio, test.sharedTokens, time.Second, n*0x9e3779b97f4a7c15
+				used[Choose(c).ID] = true
+			}
+			require.Len(t, used, test.engines)
+		})
+	}
+}
--- a/jackdawd/internal/placement/cold.go
+++ b/jackdawd/internal/placement/cold.go
@@ -204,6 +204,12 @@
 	}
 }
 
+// IdleRatio returns the ratio of upstreams that get nothing while enough are warm: the cold ones, and
+// a number that are evacuated and no candidates.
+func (t Temperature) IdleRatio(evacuated int) float64 {
+	return float64(t.coldCount+evacuated) / float64(max(t.warmCount+t.coldCount+evacuated, 1))
+}
+
 // HasOpenCold reports whether this host may send to any cold candidate.
 func (t Temperature) HasOpenCold() bool { return t.coldOpen > 0 }
 
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -32,6 +32,7 @@
 	step := Step{Candidates: len(eligible), Avoided: avoidedCount, Cacheable: j.cacheable, Evacuated: j.snapshot.EvacuatedCount(j.pool.Name)}
 	j.setPrecedence()
 	choice, temperature := j.choice(eligible), j.temperature(eligible)
+	choice.IdleRatio = temperature.IdleRatio(step.Evacuated)
 	upstream := j.choose(&choice, temperature)
 	if upstream == nil {
 		step.Decision, step.Reason = Stopped, j.refuseWithoutUpstream(temperature, backoff)
@@ -114,7 +115,6 @@
 		FailureDomain: j.FailureDomain, LoadMultiple: j.LoadMultiple(), Hosts: j.HostCount(), Random: rand.Uint64(),
 		Plan: j.Balancer.LocalPlan(time.Now()), Pool: j.pool.Name, ReportsLag: j.RequestStats.ReportsLag(time.Now(), j.pool.Name),
 		Lifetime: j.RequestStats.MeanLifetime(time.Now(), j.pool.Name), SharedTokens: j.request.SharedTokens(), MeanDuration: j.RequestStats.MeanDuration(j.route.Name),
-		EvenOut: j.snapshot.EvacuatedCount(j.pool.Name) > 0,
 	}
 }
 
