--- a/jackdawd/internal/placement/choose.go
+++ b/jackdawd/internal/placement/choose.go
@@ -19,11 +19,8 @@
 	// minIdleRatio is the ratio of idle upstreams from which the loads of the others must be evened
 	// out. With fewer, loads that differ as usual stay within the bound.
 	minIdleRatio = 0.2
-	// shortPromptReplicas is how many engines serve a short prompt then, and longPromptReplicas how
-	// many one with at least the prefill cost longPromptCost.
-	shortPromptReplicas = 4
-	longPromptReplicas  = 2
-	longPromptCost      = 0.5
+	// evenReplicas is how many engines serve a prompt then, unless it is long.
+	evenReplicas = 4
 	// longPromptTokens is the length from which a prompt gets no additional engines, as computing it
 	// would hold up the queued requests on each of them.
 	longPromptTokens = 8000
@@ -99,8 +96,8 @@
 // responses. In a surge of twelve times the usual load, engines then recomputed three times as many
 // prompt parts as with one engine per prompt.
 func (c Choice) chooseByAffinity() *traffic.Upstream {
-	if c.IdleRatio >= minIdleRatio {
-		if replicas := c.candidates(c.evenReplicas(), false); len(replicas) > 1 {
+	if c.IdleRatio >= minIdleRatio && c.SharedTokens < longPromptTokens {
+		if replicas := c.candidates(evenReplicas, false); len(replicas) > 1 {
 			return c.chooseLeastLoaded(replicas)
 		}
 	}
@@ -116,14 +113,6 @@
 	return c.Upstreams[first]
 }
 
-// evenReplicas returns how many engines serve the prompt while loads must be evened out.
-func (c Choice) evenReplicas() int {
-	if c.prefillCost() < longPromptCost {
-		return shortPromptReplicas
-	}
-	return longPromptReplicas
-}
-
 // firstTwoEngines returns the indexes of the upstream that serves the prompt and of its fallback,
 // -1 for none. A prompt with several replicas uses one of them by the request's random number.
 func (c Choice) firstTwoEngines() (first, second int) {
--- a/soak/internal/plan/plan.go
+++ b/soak/internal/plan/plan.go
@@ -62,8 +62,8 @@
 	EvacuateDomain Kind = "evacuate-domain"
 )
 
-// drawnKinds are all kinds but RestoreStore and EvacuateDomain, which have their own random streams. Their order and
-// number decide the plan of a seed.
+// drawnKinds are all kinds but RestoreStore and EvacuateDomain, which have their own random streams.
+// Their order and number decide the plan of a seed.
 var drawnKinds = []Kind{
 	PauseHost, KillHost, StopHost, HangUp, StoreFails, StoreLimits, StoreSilent, StoreTorn, StoreSlow, StoreForgets,
 	CutStore, CutOneWay, ResetStore, DelayUpstream, CutUpstream, ResetUpstream, CrashUpstream, DrainUpstream, ShedUpstream, Garble,
