--- a/jackdawd/internal/relay/budgets.go
+++ b/jackdawd/internal/relay/budgets.go
@@ -20,8 +20,7 @@
 // in that window. It is safe for concurrent use.
 //
 // When part of a pool's requests fail from one moment to the next, the first seconds may use what the
-// window before has left. A budget that allows a steady rate refused half of the retries that the
-// operators' bound has room for.
+// window before has left, which a budget of a steady rate would refuse.
 type RetryBudgets struct {
 	mu     sync.Mutex
 	ratio  float64
