--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -57,6 +57,7 @@
 	m.GaugeFamily("pool_load_bound", "pool", h.poolLoadBounds)
 	m.GaugeFamily("upstream_requests", "upstream", h.upstreamRequests)
 	m.GaugeFamily("upstreams_avoided", "pool", h.poolAvoided)
+	m.GaugeFamily("upstreams_not_reached", "pool", h.poolNotReached)
 	m.GaugeFamily("upstreams_cold", "pool", h.poolCold)
 	m.GaugeFamily("upstreams_evacuated", "pool", h.poolEvacuated)
 }
@@ -93,6 +94,20 @@
 	return avoided
 }
 
+// poolNotReached returns the number of upstreams to which this host's last direct connection failed,
+// by pool.
+func (h *Host) poolNotReached() map[string]int64 {
+	notReached := map[string]int64{}
+	for name, pool := range h.tracker.Snapshot().ReadyPools() {
+		for _, u := range pool {
+			if !h.paths.IsReached(u.Address) {
+				notReached[name]++
+			}
+		}
+	}
+	return notReached
+}
+
 // poolCold returns the number of upstreams that are cold, by pool.
 func (h *Host) poolCold() map[string]int64 {
 	snapshot, now := h.tracker.Snapshot(), time.Now()
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -21,6 +21,7 @@
 	"jackdawhinge/jackdawd/internal/relay"
 	"jackdawhinge/jackdawd/internal/requestlog"
 	"jackdawhinge/jackdawd/internal/telemetry"
+	"jackdawhinge/jackdawd/internal/transit"
 )
 
 const (
@@ -108,6 +109,8 @@
 	source  *fleet.Source
 	tracker *membership.Tracker
 	client  *exchange.Client
+	// paths records which upstreams this host reaches.
+	paths *transit.Paths
 	// quarantine records which requests crash upstreams.
 	quarantine      *quarantine.Registry
 	loads           *placement.Loads
@@ -125,7 +128,7 @@
 
 // NewHost returns a host that has started to read the configuration and does not serve yet.
 func NewHost(o Options) (*Host, error) {
-	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), conns: newCallerConns(maxCallerConns(o.MaxSockets)), serverErr: make(chan error, 1)}
+	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), paths: transit.NewPaths(), conns: newCallerConns(maxCallerConns(o.MaxSockets)), serverErr: make(chan error, 1)}
 	h.bounds.Store(&o.Bounds)
 	h.balancer = placement.NewBalancer(h.loads, h.engines, h.loadMultiple)
 	h.source = fleet.NewSource(fleet.Options{
@@ -138,7 +141,7 @@
 	})
 	h.source.Start(h.tracker)
 	h.coldLimiter = placement.NewColdLimiter(o.Name, func() []string { return h.source.Directory().KnownNames() }, func() placement.ColdTolerance { return h.bounds.Load().ColdTolerance })
-	h.client = exchange.NewClient(o.Protocol, nil)
+	h.client = exchange.NewClient(o.Protocol, transit.NewDialer(exchange.NewDialer().DialContext, h.paths).DialContext)
 	h.budgets = relay.NewRetryBudgets(o.Bounds.RetryRatio, o.Bounds.RetryWindow)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Membership: h.tracker, Client: h.client, Loads: h.loads, Balancer: h.balancer, CacheLocations: placement.NewCacheLocations(), RequestStats: placement.NewRequestStats(),
@@ -160,6 +163,7 @@
 				h.conns.closeExpired(now, h.idleTimeout())
 				h.loads.RemoveUnused(now)
 				h.coldLimiter.RemoveUnused(now)
+				h.paths.RemoveUnused(now)
 			}
 		}
 	}()
--- a/jackdawd/internal/exchange/client.go
+++ b/jackdawd/internal/exchange/client.go
@@ -66,6 +66,9 @@
 	// MaxIdleTime bounds how long the connection may have been idle; 0 means no bound. A request that
 	// must not run twice avoids connections that the upstream may be about to close.
 	MaxIdleTime time.Duration
+	// OnConnected is called once the request has a connection, and again if that turns out to be
+	// closed; nil for nothing to call.
+	OnConnected func()
 	// MaxConnections bounds this host's connections to the upstream; 0 means no bound.
 	MaxConnections int
 }
@@ -86,7 +89,7 @@
 // if it is nil.
 func NewClient(parser ResponseParser, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	if dial == nil {
-		dial = newDialer().DialContext
+		dial = NewDialer().DialContext
 	}
 	c := &Client{parser: parser, dial: dial, idle: map[string][]*conn{}, open: map[string]int{}, stop: make(chan struct{})}
 	go func() {
@@ -133,6 +136,9 @@
 		if err != nil {
 			return nil, &NotSentError{Cause: err}
 		}
+		if req.OnConnected != nil {
+			req.OnConnected()
+		}
 		resp, err := c.send(ctx, cn, req)
 		var notSent *NotSentError
 		if errors.As(err, &notSent) && cn.used && ctx.Err() == nil {
--- a/jackdawd/internal/exchange/conn.go
+++ b/jackdawd/internal/exchange/conn.go
@@ -39,7 +39,8 @@
 	maxIdle   time.Duration
 }
 
-func newDialer() *net.Dialer {
+// NewDialer returns a dialer for connections to upstreams over TCP.
+func NewDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -56,7 +56,7 @@
 func (j *job) attempt(ctx context.Context, u *traffic.Upstream) result {
 	j.attempted = append(j.attempted, u.Instance())
 	now := time.Now()
-	j.attemptStartedAt = now
+	j.attemptStartedAt, j.connectTime = now, 0
 	j.Loads.Begin(now, u)
 	j.RequestStats.RecordStart(now, j.pool.Name)
 	if j.cacheable {
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -57,8 +57,10 @@
 	fetchFrom *traffic.Upstream
 	// attempted holds the upstreams that were sent the request or could not be reached.
 	attempted []traffic.UpstreamInstance
-	// attemptStartedAt is when the latest attempt started.
+	// attemptStartedAt is when the latest attempt started, connectTime how long it took to get a
+	// connection; 0 if it got none.
 	attemptStartedAt time.Time
+	connectTime      time.Duration
 	// sentCount is the number of upstreams that were sent the request.
 	sentCount int
 	// mayHaveRun is set once an upstream may have executed the request.
@@ -143,7 +145,7 @@
 			break
 		}
 		last = j.tracedAttempt(ctx, upstream)
-		j.addStep(Step{Decision: Tried, Upstream: upstream.ID, Verdict: string(last.verdict), Err: last.err})
+		j.addStep(Step{Decision: Tried, Upstream: upstream.ID, Verdict: string(last.verdict), Err: last.err, Connect: j.connectTime})
 		if !j.shouldRetry(ctx, last) {
 			break
 		}
@@ -294,6 +296,7 @@
 		Header: j.Protocol.UpstreamHeader(j.r.Header, j.forwardMetadata(u)), Body: j.body,
 		MaxConnections: j.pool.MaxConnections / hostConnectionDivisor,
 		HeaderTimeout:  j.firstByteTimeout(j.sentCount + 1),
+		OnConnected:    func() { j.connectTime = time.Since(j.attemptStartedAt) },
 		AbortOnTimeout: func() bool { return !j.isFull(u) },
 	}
 	if !j.route.Repeatable() {
--- a/jackdawd/internal/relay/record.go
+++ b/jackdawd/internal/relay/record.go
@@ -70,6 +70,8 @@
 	// Verdict and Err are the result of an attempt.
 	Verdict string
 	Err     error
+	// Connect is how long the attempt took to get a connection; 0 if it got none.
+	Connect time.Duration
 	// Delay is how long the request was expected to queue at the upstream.
 	Delay time.Duration
 	// MaxDelay is the maximum time that it may queue there.
--- a/jackdawd/internal/requestlog/writer.go
+++ b/jackdawd/internal/requestlog/writer.go
@@ -117,6 +117,9 @@
 		addEvacuated(fields, step)
 	case relay.Tried:
 		fields["verdict"] = step.Verdict
+		if step.Connect > 0 {
+			fields["connect"] = step.Connect.String()
+		}
 	case relay.Resumed:
 		fields["resume-after"] = step.ResumeAfter
 	case relay.Stopped:
