--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/sirupsen/logrus"
 
+	"jackdawhinge/common/peers"
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/admission"
 	"jackdawhinge/jackdawd/internal/exchange"
@@ -80,7 +82,13 @@
 	MaxTotalBodyBytes int64
 	// MaxSockets is the maximum number of sockets that the process may open.
 	MaxSockets int
-	Meter      *telemetry.Meter
+	// Dial and Listen create connections to upstreams and between hosts, over TCP if nil.
+	Dial   transit.DialFunc
+	Listen func(address string) (net.Listener, error)
+	// Uptime is a monotonic clock that also advances while the host is suspended; nil means the
+	// kernel's.
+	Uptime func() time.Duration
+	Meter  *telemetry.Meter
 	// The loggers of requests answered at the first attempt, and of all others.
 	RoutineLogger *logrus.Logger
 	AnomalyLogger *logrus.Logger
@@ -128,20 +136,23 @@
 
 // NewHost returns a host that has started to read the configuration and does not serve yet.
 func NewHost(o Options) (*Host, error) {
+	if o.Uptime == nil {
+		o.Uptime = uptime
+	}
 	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), paths: transit.NewPaths(), conns: newCallerConns(maxCallerConns(o.MaxSockets)), serverErr: make(chan error, 1)}
 	h.bounds.Store(&o.Bounds)
 	h.balancer = placement.NewBalancer(h.loads, h.engines, h.loadMultiple)
 	h.source = fleet.NewSource(fleet.Options{
 		Name: o.Name, FailureDomain: o.FailureDomain, Region: o.Region, Address: o.PeerAddress, Strength: o.Strength, FirstStart: o.FirstStart, HostRegistry: o.HostRegistry,
-		Configurations: o.Configurations, Upstreams: o.Upstreams, Plans: h.balancer, Uptime: uptime, MaxConfigurationAge: h.maxConfigurationAge, DecodeConfiguration: o.DecodeConfiguration,
-		Quarantine: h.quarantine, QuarantineStore: o.QuarantineStore,
+		Configurations: o.Configurations, Upstreams: o.Upstreams, Plans: h.balancer, Uptime: o.Uptime, MaxConfigurationAge: h.maxConfigurationAge, DecodeConfiguration: o.DecodeConfiguration,
+		Quarantine: h.quarantine, QuarantineStore: o.QuarantineStore, Listen: o.Listen, Dial: peers.DialFunc(o.Dial),
 	})
 	h.tracker = membership.NewTracker(membership.Options{
-		Configurations: h.source.Configurations(), Upstreams: h.source.Upstreams(), Uptime: uptime, Bounds: o.Bounds.Bounds,
+		Configurations: h.source.Configurations(), Upstreams: h.source.Upstreams(), Uptime: o.Uptime, Bounds: o.Bounds.Bounds,
 	})
 	h.source.Start(h.tracker)
 	h.coldLimiter = placement.NewColdLimiter(o.Name, func() []string { return h.source.Directory().KnownNames() }, func() placement.ColdTolerance { return h.bounds.Load().ColdTolerance })
-	h.client = exchange.NewClient(o.Protocol, transit.NewDialer(exchange.NewDialer().DialContext, h.paths).DialContext)
+	h.client = exchange.NewClient(o.Protocol, transit.NewDialer(h.upstreamDialer(), h.paths).DialContext)
 	h.budgets = relay.NewRetryBudgets(o.Bounds.RetryRatio, o.Bounds.RetryWindow)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Membership: h.tracker, Client: h.client, Loads: h.loads, Balancer: h.balancer, CacheLocations: placement.NewCacheLocations(), RequestStats: placement.NewRequestStats(),
@@ -170,6 +181,14 @@
 	return h, nil
 }
 
+// upstreamDialer returns the function that connects directly to upstreams.
+func (h *Host) upstreamDialer() transit.DialFunc {
+	if h.options.Dial != nil {
+		return h.options.Dial
+	}
+	return exchange.NewDialer().DialContext
+}
+
 // engines returns the engines that accept new requests, by pool.
 func (h *Host) engines() map[string][]*traffic.Upstream {
 	byPool := map[string][]*traffic.Upstream{}
