--- a/common/peers/server.go
+++ b/common/peers/server.go
@@ -18,15 +18,20 @@
 // authTimeout limits how long a new connection may take to send the hash of the secret.
 const authTimeout = 5 * time.Second
 
-// A Server serves RPC calls of other processes of the fleet.
+// A StreamHandler serves a connection that carries a stream of bytes instead of calls.
+type StreamHandler func(conn net.Conn)
+
+// A Server serves RPC calls, and streams, of other processes of the fleet.
 type Server struct {
-	secretHashes [][sha256.Size]byte
-	rpc          *rpc.Server
-	listener     net.Listener
-	bytes        wire.Counter
-	mu           sync.Mutex
-	conns        map[net.Conn]bool
-	closed       bool
+	secrets []string
+	// handlers holds what serves a connection, by the hash that it begins with.
+	handlers map[[sha256.Size]byte]func(net.Conn)
+	rpc      *rpc.Server
+	listener net.Listener
+	bytes    wire.Counter
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	closed   bool
 }
 
 // NewServer returns a server that listens on address and serves the services, by name, to clients
@@ -41,9 +46,9 @@
 
 // NewServerWithListener returns a server on an existing listener, which Stop closes.
 func NewServerWithListener(listener net.Listener, secrets []string, services map[string]any) (*Server, error) {
-	s := &Server{rpc: rpc.NewServer(), listener: listener, conns: map[net.Conn]bool{}}
+	s := &Server{secrets: secrets, handlers: map[[sha256.Size]byte]func(net.Conn){}, rpc: rpc.NewServer(), listener: listener, conns: map[net.Conn]bool{}}
 	for _, secret := range secrets {
-		s.secretHashes = append(s.secretHashes, sha256.Sum256([]byte(secret)))
+		s.handlers[sha256.Sum256([]byte(secret))] = func(conn net.Conn) { s.rpc.ServeConn(s.bytes.WrapConn(conn)) }
 	}
 	for name, service := range services {
 		if err := s.rpc.RegisterName(name, service); err != nil {
@@ -53,6 +58,14 @@
 	return s, nil
 }
 
+// HandleStreams makes a handler serve the streams of a name. It must be called before Start. Streams
+// are not counted by Bytes.
+func (s *Server) HandleStreams(name string, handler StreamHandler) {
+	for _, secret := range s.secrets {
+		s.handlers[streamHash(secret, name)] = handler
+	}
+}
+
 // Address returns the listen address.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
@@ -92,39 +105,47 @@
 
 func (s *Server) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	if !s.authenticate(conn) {
+	handle := s.authenticate(conn)
+	if handle == nil {
 		return
 	}
-	s.rpc.ServeConn(s.bytes.WrapConn(conn))
+	handle(conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
 }
 
-// authenticate reads the hash of the client's secret and reports whether the connection may be
-// served.
-func (s *Server) authenticate(conn net.Conn) bool {
+// authenticate reads the hash that the connection begins with and returns what serves it, or nil if
+// it may not be served.
+func (s *Server) authenticate(conn net.Conn) func(net.Conn) {
 	var hash [sha256.Size]byte
 	if err := conn.SetReadDeadline(time.Now().Add(authTimeout)); err != nil {
-		return false
+		return nil
 	}
 	if _, err := io.ReadFull(conn, hash[:]); err != nil {
-		return false
+		return nil
 	}
-	if !s.isKnownSecret(hash) {
-		return false
+	handle := s.handler(hash)
+	if handle == nil {
+		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[conn] = true
-	return !s.closed && conn.SetReadDeadline(time.Time{}) == nil
+	if s.closed || conn.SetReadDeadline(time.Time{}) != nil {
+		return nil
+	}
+	return handle
 }
 
-// isKnownSecret reports whether hash is that of one of the secrets, in constant time.
-func (s *Server) isKnownSecret(hash [sha256.Size]byte) bool {
-	match := 0
-	for i := range s.secretHashes {
-		match |= subtle.ConstantTimeCompare(hash[:], s.secretHashes[i][:])
+// handler returns what serves connections that begin with a hash, or nil. Its time does not depend
+// on how much of the hash is right.
+func (s *Server) handler(hash [sha256.Size]byte) func(net.Conn) {
+	var found func(net.Conn)
+	for known, handle := range s.handlers {
+		if subtle.ConstantTimeCompare(hash[:], known[:]) == 1 {
+			found = handle
+		}
 	}
-	return match == 1
+	return found
 }
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -57,7 +57,11 @@
 	m.GaugeFamily("pool_load_bound", "pool", h.poolLoadBounds)
 	m.GaugeFamily("upstream_requests", "upstream", h.upstreamRequests)
 	m.GaugeFamily("upstreams_avoided", "pool", h.poolAvoided)
-	m.GaugeFamily("upstreams_not_reached", "pool", h.poolNotReached)
+	m.Gauge("tunnels", h.tunnels.Tunnels)
+	m.GaugeFamily("upstreams_not_reached", "pool", func() map[string]int64 {
+		return h.poolAddresses(func(address string) bool { return !h.paths.IsReached(address) })
+	})
+	m.GaugeFamily("upstreams_through_others", "pool", func() map[string]int64 { return h.poolAddresses(h.paths.IsLost) })
 	m.GaugeFamily("upstreams_cold", "pool", h.poolCold)
 	m.GaugeFamily("upstreams_evacuated", "pool", h.poolEvacuated)
 }
@@ -94,18 +98,17 @@
 	return avoided
 }
 
-// poolNotReached returns the number of upstreams to which this host's last direct connection failed,
-// by pool.
-func (h *Host) poolNotReached() map[string]int64 {
-	notReached := map[string]int64{}
+// poolAddresses returns the number of upstreams whose address matches, by pool.
+func (h *Host) poolAddresses(matches func(address string) bool) map[string]int64 {
+	counts := map[string]int64{}
 	for name, pool := range h.tracker.Snapshot().ReadyPools() {
 		for _, u := range pool {
-			if !h.paths.IsReached(u.Address) {
-				notReached[name]++
+			if matches(u.Address) {
+				counts[name]++
 			}
 		}
 	}
-	return notReached
+	return counts
 }
 
 // poolCold returns the number of upstreams that are cold, by pool.
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -41,6 +41,9 @@
 	defaultIdleTimeout = 60 * time.Second
 	// housekeepingInterval is how often idle connections and old loads are removed.
 	housekeepingInterval = time.Second
+	// tunnelSocketDivisor is the divisor of a host's sockets that gives how many tunnels it serves
+	// at a time. Each takes two sockets.
+	tunnelSocketDivisor = 16
 )
 
 // Protocol translates the headers of requests and responses between callers, hosts and
@@ -118,7 +121,10 @@
 	tracker *membership.Tracker
 	client  *exchange.Client
 	// paths records which upstreams this host reaches.
-	paths *transit.Paths
+	paths  *transit.Paths
+	dialer *transit.Dialer
+	// tunnels connects other hosts to upstreams.
+	tunnels *transit.Server
 	// quarantine records which requests crash upstreams.
 	quarantine      *quarantine.Registry
 	loads           *placement.Loads
@@ -141,18 +147,23 @@
 	}
 	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), paths: transit.NewPaths(), conns: newCallerConns(maxCallerConns(o.MaxSockets)), serverErr: make(chan error, 1)}
 	h.bounds.Store(&o.Bounds)
+	h.tunnels = transit.NewServer(transit.ServerOptions{Dial: h.upstreamDialer(), Paths: h.paths, IsUpstream: h.isUpstream, MaxTunnels: max(o.MaxSockets/tunnelSocketDivisor, 1)})
 	h.balancer = placement.NewBalancer(h.loads, h.engines, h.loadMultiple)
 	h.source = fleet.NewSource(fleet.Options{
 		Name: o.Name, FailureDomain: o.FailureDomain, Region: o.Region, Address: o.PeerAddress, Strength: o.Strength, FirstStart: o.FirstStart, HostRegistry: o.HostRegistry,
 		Configurations: o.Configurations, Upstreams: o.Upstreams, Plans: h.balancer, Uptime: o.Uptime, MaxConfigurationAge: h.maxConfigurationAge, DecodeConfiguration: o.DecodeConfiguration,
-		Quarantine: h.quarantine, QuarantineStore: o.QuarantineStore, Listen: o.Listen, Dial: peers.DialFunc(o.Dial),
+		Quarantine: h.quarantine, QuarantineStore: o.QuarantineStore, Listen: o.Listen, Dial: peers.DialFunc(o.Dial), Streams: map[string]peers.StreamHandler{transit.StreamName: h.tunnels.Serve},
 	})
 	h.tracker = membership.NewTracker(membership.Options{
 		Configurations: h.source.Configurations(), Upstreams: h.source.Upstreams(), Uptime: o.Uptime, Bounds: o.Bounds.Bounds,
 	})
 	h.source.Start(h.tracker)
 	h.coldLimiter = placement.NewColdLimiter(o.Name, func() []string { return h.source.Directory().KnownNames() }, func() placement.ColdTolerance { return h.bounds.Load().ColdTolerance })
-	h.client = exchange.NewClient(o.Protocol, transit.NewDialer(h.upstreamDialer(), h.paths).DialContext)
+	h.dialer = transit.NewDialer(transit.Options{
+		Name: o.Name, FailureDomain: o.FailureDomain, Dial: h.upstreamDialer(), Paths: h.paths, Peers: h.transitPeers,
+		OnPathChange: func(address string) { h.client.DiscardIdle(address) },
+	})
+	h.client = exchange.NewClient(o.Protocol, h.dialer.DialContext)
 	h.budgets = relay.NewRetryBudgets(o.Bounds.RetryRatio, o.Bounds.RetryWindow)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Membership: h.tracker, Client: h.client, Loads: h.loads, Balancer: h.balancer, CacheLocations: placement.NewCacheLocations(), RequestStats: placement.NewRequestStats(),
@@ -189,6 +200,21 @@
 	return exchange.NewDialer().DialContext
 }
 
+// transitPeers returns the other hosts of the region.
+func (h *Host) transitPeers() []transit.Peer {
+	var others []transit.Peer
+	for name, registration := range h.source.Directory().All() {
+		if name == h.options.Name || registration.Region != h.options.Region || registration.Address == "" {
+			continue
+		}
+		others = append(others, transit.Peer{Name: name, Address: registration.Address, Secret: registration.Secret, FailureDomain: registration.FailureDomain})
+	}
+	return others
+}
+
+// isUpstream reports whether an upstream with this address is listed.
+func (h *Host) isUpstream(address string) bool { return h.tracker.Snapshot().HasAddress(address) }
+
 // engines returns the engines that accept new requests, by pool.
 func (h *Host) engines() map[string][]*traffic.Upstream {
 	byPool := map[string][]*traffic.Upstream{}
@@ -290,10 +316,11 @@
 	start := time.Now()
 	h.draining.Store(true)
 	h.handler.Drain(start.Add(balancerDrainDelay))
+	h.tunnels.Drain()
 	logrus.WithField("in-progress", h.handler.InProgress()).Info("entry: Stopping. Waiting for requests in progress.")
 	deadline := start.Add(h.bounds.Load().GracePeriod - abortMargin)
 	for time.Now().Before(deadline) {
-		if time.Since(start) > balancerDrainDelay && h.handler.InProgress() == 0 {
+		if time.Since(start) > balancerDrainDelay && h.handler.InProgress() == 0 && h.tunnels.Tunnels() == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
@@ -312,5 +339,6 @@
 	}
 	h.tracker.Close()
 	h.client.Close()
+	h.dialer.Close()
 	return errors.Join(errs...)
 }
--- a/jackdawd/internal/exchange/client.go
+++ b/jackdawd/internal/exchange/client.go
@@ -26,6 +26,9 @@
 	idleMargin = 1 * time.Second
 	// maxIdlePerUpstream bounds the idle connections to one upstream.
 	maxIdlePerUpstream = 4
+	// maxRelayedIdle bounds how long an idle connection through another host is pooled, as it takes
+	// one of the few that the other host holds for all.
+	maxRelayedIdle = 2 * time.Second
 	// maxStaleResponses bounds the responses to earlier requests that are skipped.
 	maxStaleResponses = 3
 	// maxStaleBodyBytes bounds how much of the body of such a response is skipped.
@@ -67,8 +70,9 @@
 	// must not run twice avoids connections that the upstream may be about to close.
 	MaxIdleTime time.Duration
 	// OnConnected is called once the request has a connection, and again if that turns out to be
-	// closed; nil for nothing to call.
-	OnConnected func()
+	// closed; nil for nothing to call. It is given the host that the connection leads through, empty
+	// for none.
+	OnConnected func(through string)
 	// MaxConnections bounds this host's connections to the upstream; 0 means no bound.
 	MaxConnections int
 }
@@ -137,7 +141,7 @@
 			return nil, &NotSentError{Cause: err}
 		}
 		if req.OnConnected != nil {
-			req.OnConnected()
+			req.OnConnected(cn.peer())
 		}
 		resp, err := c.send(ctx, cn, req)
 		var notSent *NotSentError
@@ -240,6 +244,22 @@
 	c.release(cn.address)
 }
 
+// DiscardIdle closes the idle connections to an upstream, or to all if the address is empty.
+func (c *Client) DiscardIdle(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for to, idle := range c.idle {
+		if address != "" && to != address {
+			continue
+		}
+		for _, cn := range idle {
+			_ = cn.Close()
+			c.release(to)
+		}
+		delete(c.idle, to)
+	}
+}
+
 // closeExpired closes connections that have been idle for too long.
 func (c *Client) closeExpired(now time.Time) {
 	c.mu.Lock()
@@ -247,7 +267,7 @@
 	for address, idle := range c.idle {
 		fresh := idle[:0]
 		for _, cn := range idle {
-			if now.Sub(cn.idleSince) <= cn.maxIdle {
+			if now.Sub(cn.idleSince) <= cn.maxIdle && (cn.peer() == "" || cn.reusable()) {
 				fresh = append(fresh, cn)
 				continue
 			}
--- a/jackdawd/internal/exchange/conn.go
+++ b/jackdawd/internal/exchange/conn.go
@@ -59,23 +59,50 @@
 	}
 }
 
+// A relayedConn is a connection through another host, which frames what the upstream sends.
+type relayedConn interface {
+	// Peer returns the name of the other host.
+	Peer() string
+	// NetConn returns the connection to it.
+	NetConn() net.Conn
+	// Reusable reports whether another request may be sent.
+	Reusable() bool
+	// ReportTimeout records that a response did not come in time.
+	ReportTimeout()
+}
+
+// peer returns the name of the host that the connection leads through; empty for none.
+func (c *conn) peer() string {
+	if relayed, ok := c.Conn.(relayedConn); ok {
+		return relayed.Peer()
+	}
+	return ""
+}
+
 // reusable reports whether an idle connection is still open and has nothing to read. Unsolicited
 // bytes belong to no request, and a connection that the peer has closed would fail the next one.
 func (c *conn) reusable() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
+	raw := c.Conn
+	if relayed, ok := c.Conn.(relayedConn); ok {
+		if !relayed.Reusable() {
+			return false
+		}
+		raw = relayed.NetConn()
+	}
+	s, ok := raw.(syscall.Conn)
 	if !ok {
 		// Connections in tests have no descriptor; only their buffer is checked.
 		return true
 	}
-	raw, err := s.SyscallConn()
+	descriptor, err := s.SyscallConn()
 	if err != nil {
 		return false
 	}
 	nothingToRead := false
-	err = raw.Control(func(fd uintptr) {
+	err = descriptor.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		nothingToRead = err == unix.EAGAIN
--- a/jackdawd/internal/exchange/response.go
+++ b/jackdawd/internal/exchange/response.go
@@ -68,6 +68,7 @@
 
 func (r *Response) readHead() error {
 	if err := r.awaitData(r.request.HeaderTimeout); err != nil {
+		r.reportTimeout(err)
 		return &InterruptedError{Cause: translateReadError(err)}
 	}
 	for range maxStaleResponses + 1 {
@@ -92,6 +93,18 @@
 	return &MismatchError{Want: r.request.ID, Got: r.head.ID}
 }
 
+// reportTimeout records that the response did not come in time. Connections that were idle before may
+// be as dead as this one, and so may the host that it leads through.
+func (r *Response) reportTimeout(err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	r.client.DiscardIdle(r.request.Address)
+	if relayed, ok := r.conn.Conn.(relayedConn); ok {
+		relayed.ReportTimeout()
+	}
+}
+
 // readResponse reads the header of the next response that is not an interim (1xx) one.
 func (r *Response) readResponse() (*http.Response, error) {
 	for {
@@ -110,6 +123,7 @@
 func (r *Response) Read(p []byte) (int, error) {
 	if r.readTimeout > 0 && r.conn.reader.Buffered() == 0 {
 		if err := r.awaitData(r.readTimeout); err != nil {
+			r.reportTimeout(err)
 			return 0, &InterruptedError{Cause: translateReadError(err)}
 		}
 	}
@@ -201,8 +215,12 @@
 
 // maxIdle returns how long the connection may stay idle in the pool.
 func (r *Response) maxIdle() time.Duration {
+	limit := defaultMaxIdle
+	if r.conn.peer() != "" {
+		limit = maxRelayedIdle
+	}
 	if r.head.IdleTimeout <= 0 {
-		return defaultMaxIdle
+		return limit
 	}
-	return min(defaultMaxIdle, max(r.head.IdleTimeout-idleMargin, 0))
+	return min(limit, max(r.head.IdleTimeout-idleMargin, 0))
 }
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -80,6 +80,8 @@
 	MaxConfigurationAge func() time.Duration
 	// DecodeConfiguration parses a configuration received from another host.
 	DecodeConfiguration func(document []byte) (*traffic.Configuration, error)
+	// Streams serve the streams that other hosts open to this one, by name.
+	Streams map[string]peers.StreamHandler
 	// Listen and Dial create connections between hosts, over TCP if nil.
 	Listen func(address string) (net.Listener, error)
 	Dial   peers.DialFunc
@@ -262,6 +264,9 @@
 		logrus.WithError(err).Error("fleet: Starting the server for other hosts failed.")
 		return
 	}
+	for name, handler := range s.options.Streams {
+		server.HandleStreams(name, handler)
+	}
 	s.server = server
 	s.done.Go(func() {
 		if err := server.Start(ctx); err != nil {
--- a/jackdawd/internal/membership/snapshot.go
+++ b/jackdawd/internal/membership/snapshot.go
@@ -16,6 +16,7 @@
 	// evacuated failure domains are not ready.
 	ready     map[string][]*traffic.Upstream
 	byID      map[string]*traffic.Upstream
+	addresses map[string]bool
 	all       map[string][]*traffic.Upstream
 	firstSeen map[string]time.Time
 	avoided   map[string]bool
@@ -77,6 +78,9 @@
 	return u, ok
 }
 
+// HasAddress reports whether an upstream with this address is listed, ready or leaving.
+func (s *Snapshot) HasAddress(address string) bool { return s.addresses[address] }
+
 // AllUpstreams returns a pool's upstreams, ready or leaving, sorted by identifier; the slice must
 // not be changed.
 func (s *Snapshot) AllUpstreams(pool string) []*traffic.Upstream { return s.all[pool] }
@@ -90,11 +94,12 @@
 func newSnapshot(c *traffic.Configuration, upstreams map[string]traffic.Upstream, firstSeen map[string]time.Time, avoided map[string]bool) *Snapshot {
 	s := &Snapshot{
 		configuration: c, ready: map[string][]*traffic.Upstream{},
-		all: map[string][]*traffic.Upstream{}, byID: map[string]*traffic.Upstream{},
+		all: map[string][]*traffic.Upstream{}, byID: map[string]*traffic.Upstream{}, addresses: map[string]bool{},
 		firstSeen: maps.Clone(firstSeen), avoided: avoided, evacuatedCounts: map[string]int{},
 	}
 	for id, u := range upstreams {
 		s.byID[id] = &u
+		s.addresses[u.Address] = true
 		s.all[u.Pool] = append(s.all[u.Pool], &u)
 		switch {
 		case u.State != traffic.Ready:
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -56,7 +56,7 @@
 func (j *job) attempt(ctx context.Context, u *traffic.Upstream) result {
 	j.attempted = append(j.attempted, u.Instance())
 	now := time.Now()
-	j.attemptStartedAt, j.connectTime = now, 0
+	j.attemptStartedAt, j.connectTime, j.through = now, 0, ""
 	j.Loads.Begin(now, u)
 	j.RequestStats.RecordStart(now, j.pool.Name)
 	if j.cacheable {
@@ -129,6 +129,11 @@
 	return j.conclude(ctx, u, r)
 }
 
+// recordConnected records that the attempt has a connection.
+func (j *job) recordConnected(through string) {
+	j.connectTime, j.through = time.Since(j.attemptStartedAt), through
+}
+
 // handleRequestError returns the result of a request that got no response header.
 func (j *job) handleRequestError(ctx context.Context, u *traffic.Upstream, err error) result {
 	var notSent *exchange.NotSentError
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -61,6 +61,8 @@
 	// connection; 0 if it got none.
 	attemptStartedAt time.Time
 	connectTime      time.Duration
+	// through is the host that the connection leads through; empty for none.
+	through string
 	// sentCount is the number of upstreams that were sent the request.
 	sentCount int
 	// mayHaveRun is set once an upstream may have executed the request.
@@ -145,7 +147,7 @@
 			break
 		}
 		last = j.tracedAttempt(ctx, upstream)
-		j.addStep(Step{Decision: Tried, Upstream: upstream.ID, Verdict: string(last.verdict), Err: last.err, Connect: j.connectTime})
+		j.addStep(Step{Decision: Tried, Upstream: upstream.ID, Verdict: string(last.verdict), Err: last.err, Connect: j.connectTime, Through: j.through})
 		if !j.shouldRetry(ctx, last) {
 			break
 		}
@@ -296,7 +298,7 @@
 		Header: j.Protocol.UpstreamHeader(j.r.Header, j.forwardMetadata(u)), Body: j.body,
 		MaxConnections: j.pool.MaxConnections / hostConnectionDivisor,
 		HeaderTimeout:  j.firstByteTimeout(j.sentCount + 1),
-		OnConnected:    func() { j.connectTime = time.Since(j.attemptStartedAt) },
+		OnConnected:    j.recordConnected,
 		AbortOnTimeout: func() bool { return !j.isFull(u) },
 	}
 	if !j.route.Repeatable() {
--- a/jackdawd/internal/relay/record.go
+++ b/jackdawd/internal/relay/record.go
@@ -72,6 +72,8 @@
 	Err     error
 	// Connect is how long the attempt took to get a connection; 0 if it got none.
 	Connect time.Duration
+	// Through is the host that the connection leads through; empty for none.
+	Through string
 	// Delay is how long the request was expected to queue at the upstream.
 	Delay time.Duration
 	// MaxDelay is the maximum time that it may queue there.
--- a/jackdawd/internal/relay/watchdog.go
+++ b/jackdawd/internal/relay/watchdog.go
@@ -29,6 +29,8 @@
 	w.timer = time.AfterFunc(max(firstByteTimeoutFactor*j.route.FirstByteTarget, minFirstByteTimeout), func() {
 		if !j.isFull(u) && w.stop() && ctx.Err() == nil {
 			j.Membership.Observe(u.Instance(), control.TimedOut)
+			// Connections that were idle before may be as dead as the one of this request.
+			j.Client.DiscardIdle(u.Address)
 		}
 	})
 	return w
--- a/jackdawd/internal/requestlog/writer.go
+++ b/jackdawd/internal/requestlog/writer.go
@@ -120,6 +120,9 @@
 		if step.Connect > 0 {
 			fields["connect"] = step.Connect.String()
 		}
+		if step.Through != "" {
+			fields["through"] = step.Through
+		}
 	case relay.Resumed:
 		fields["resume-after"] = step.ResumeAfter
 	case relay.Stopped:
--- a/jackdawd/internal/transit/paths.go
+++ b/jackdawd/internal/transit/paths.go
@@ -7,13 +7,22 @@
 	"github.com/sirupsen/logrus"
 )
 
-// pathRetention is how long the path to an upstream is remembered without connections over it.
-const pathRetention = time.Minute
+const (
+	// pathRetention is how long the path to an upstream is remembered without connections over it.
+	pathRetention = time.Minute
+	// unreachedBackoff is how long no further connection is tried to an upstream that was reached
+	// neither directly nor through others, so that requests for it are refused at once.
+	unreachedBackoff = 300 * time.Millisecond
+	// lossWindow is the time within which two lost paths mean that the others may be lost too.
+	lossWindow = time.Second
+)
 
 // Paths records over which paths this host reaches upstreams. It is safe for concurrent use.
 type Paths struct {
 	mu        sync.Mutex
 	byAddress map[string]*path
+	// lastLost is the path that was last found to be lost.
+	lastLost string
 }
 
 // path is what this host knows of the way to one upstream.
@@ -22,7 +31,12 @@
 	// that failed; the zero time means none.
 	connectedAt  time.Time
 	failingSince time.Time
-	usedAt       time.Time
+	// lostAt is when the upstream was reached through another host while it was not reached
+	// directly; the zero time means that the direct path is not lost.
+	lostAt time.Time
+	// unreachedUntil is until when no connection is tried.
+	unreachedUntil time.Time
+	usedAt         time.Time
 }
 
 // NewPaths returns an empty record.
@@ -44,24 +58,68 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	found := p.path(now, address)
-	fields := logrus.Fields{"address": address}
-	switch {
-	case err == nil && !found.failingSince.IsZero():
-		fields["after"] = now.Sub(found.failingSince).String()
-		logrus.WithFields(fields).Info("transit: Upstream reached directly again.")
-	case err != nil && found.failingSince.IsZero():
-		if !found.connectedAt.IsZero() {
-			fields["last-connected"] = now.Sub(found.connectedAt).String()
+	if err == nil {
+		if !found.failingSince.IsZero() {
+			logrus.WithFields(logrus.Fields{"address": address, "after": now.Sub(found.failingSince).String()}).Info("transit: Upstream reached directly again.")
 		}
-		logrus.WithError(err).WithFields(fields).Info("transit: Upstream not reached directly.")
+		*found = path{connectedAt: now, usedAt: now}
+		return
 	}
-	if err == nil {
-		found.connectedAt, found.failingSince = now, time.Time{}
+	if !found.failingSince.IsZero() {
 		return
 	}
+	found.failingSince = now
+	fields := logrus.Fields{"address": address}
+	if !found.connectedAt.IsZero() {
+		fields["last-connected"] = now.Sub(found.connectedAt).String()
+	}
+	logrus.WithError(err).WithFields(fields).Info("transit: Upstream not reached directly.")
+}
+
+// recordThrough records that an upstream was reached through another host while it was not reached
+// directly. It reports whether the direct path has just been lost, and whether the others are in
+// doubt because another one was lost a moment ago.
+func (p *Paths) recordThrough(now time.Time, address, peer string) (lost, othersInDoubt bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := p.path(now, address)
+	found.unreachedUntil = time.Time{}
+	if !found.lostAt.IsZero() {
+		return false, false
+	}
+	found.lostAt = now
 	if found.failingSince.IsZero() {
 		found.failingSince = now
 	}
+	logrus.WithFields(logrus.Fields{"address": address, "peer": peer}).Info("transit: Upstream reached through another host, not directly.")
+	last, ok := p.byAddress[p.lastLost]
+	othersInDoubt = ok && p.lastLost != address && now.Sub(last.lostAt) < lossWindow
+	p.lastLost = address
+	return true, othersInDoubt
+}
+
+// recordUnreached records that an upstream was reached neither directly nor through others.
+func (p *Paths) recordUnreached(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := p.path(now, address)
+	found.lostAt, found.unreachedUntil = time.Time{}, now.Add(unreachedBackoff)
+}
+
+// isUnreached reports whether no connection to an upstream is to be tried.
+func (p *Paths) isUnreached(now time.Time, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found, ok := p.byAddress[address]
+	return ok && now.Before(found.unreachedUntil)
+}
+
+// IsLost reports whether an upstream is reached through other hosts but not directly.
+func (p *Paths) IsLost(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found, ok := p.byAddress[address]
+	return ok && !found.lostAt.IsZero()
 }
 
 // IsReached reports whether the last direct connection to an upstream succeeded, or none was tried.
@@ -72,6 +130,19 @@
 	return !ok || found.failingSince.IsZero()
 }
 
+// lost returns the upstreams whose direct path is lost.
+func (p *Paths) lost() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var addresses []string
+	for address, found := range p.byAddress {
+		if !found.lostAt.IsZero() {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // RemoveUnused removes the paths that were not used for a while.
 func (p *Paths) RemoveUnused(now time.Time) {
 	p.mu.Lock()
--- a/jackdawd/internal/transit/paths_test.go
+++ b/jackdawd/internal/transit/paths_test.go
@@ -14,11 +14,37 @@
 	require.True(t, paths.IsReached("10.1.0.1:80"), "no connection was tried")
 	paths.recordDirect(now, "10.1.0.1:80", errors.New("i/o timeout"))
 	require.False(t, paths.IsReached("10.1.0.1:80"))
+	require.False(t, paths.IsLost("10.1.0.1:80"), "the upstream may be down")
 	require.True(t, paths.IsReached("10.1.0.2:80"))
 	paths.recordDirect(now.Add(time.Second), "10.1.0.1:80", nil)
 	require.True(t, paths.IsReached("10.1.0.1:80"))
 }
 
+// A path is lost only while another host reaches the upstream.
+func TestPathIsLostUntilUpstreamIsReachedDirectly(t *testing.T) {
+	paths, now := NewPaths(), time.Now()
+	lost, othersInDoubt := paths.recordThrough(now, "10.1.0.1:80", "entry-2")
+	require.True(t, lost)
+	require.False(t, othersInDoubt)
+	require.True(t, paths.IsLost("10.1.0.1:80"))
+	lost, _ = paths.recordThrough(now, "10.1.0.1:80", "entry-2")
+	require.False(t, lost, "it was lost before")
+	_, othersInDoubt = paths.recordThrough(now, "10.1.0.2:80", "entry-2")
+	require.True(t, othersInDoubt, "two were lost at the same time")
+	require.ElementsMatch(t, []string{"10.1.0.1:80", "10.1.0.2:80"}, paths.lost())
+	paths.recordDirect(now, "10.1.0.1:80", nil)
+	require.Equal(t, []string{"10.1.0.2:80"}, paths.lost())
+}
+
+// Requests for an upstream that nobody reaches must not each wait for the timeout of a connection.
+func TestUnreachedUpstreamIsNotTriedAtOnce(t *testing.T) {
+	paths, now := NewPaths(), time.Now()
+	paths.recordUnreached(now, "10.1.0.1:80")
+	require.True(t, paths.isUnreached(now, "10.1.0.1:80"))
+	require.False(t, paths.isUnreached(now, "10.1.0.2:80"))
+	require.False(t, paths.isUnreached(now.Add(unreachedBackoff), "10.1.0.1:80"))
+}
+
 func TestUnusedPathsAreRemoved(t *testing.T) {
 	paths, now := NewPaths(), time.Now()
 	paths.recordDirect(now, "10.1.0.1:80", errors.New("i/o timeout"))
