--- a/jackdawd/internal/relay/admission_test.go
+++ b/jackdawd/internal/relay/admission_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/admission"
+	"jackdawhinge/standin/network"
 )
 
 // Engines start the most urgent requests that wait for them first. During an overload a class below
@@ -58,3 +61,18 @@
 		})
 	}
 }
+
+// The wait for a connection must not count as the queue of an upstream, or requests are refused as
+// overload once the upstream is reached again.
+func TestWaitForConnectionIsNoQueue(t *testing.T) {
+	runFixture(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		address := f.store.upstreams[0].Address
+		f.net.SetFault(address, network.Partitioned)
+		var waiting sync.WaitGroup
+		waiting.Go(func() { f.do(f.request(http.MethodGet, "/scan/x", "r1", "")) })
+		time.Sleep(time.Second)
+		f.net.SetFault(address, "")
+		require.Equal(t, http.StatusOK, f.do(f.request(http.MethodGet, "/scan/x", "r2", "")).status)
+		waiting.Wait()
+	})
+}
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -56,13 +56,12 @@
 func (j *job) attempt(ctx context.Context, u *traffic.Upstream) result {
 	j.attempted = append(j.attempted, u.Instance())
 	now := time.Now()
-	j.attemptStartedAt, j.connectTime, j.through = now, 0, ""
+	j.attemptStartedAt, j.connectTime, j.through, j.sent = now, 0, "", nil
 	j.Loads.Begin(now, u)
 	j.RequestStats.RecordStart(now, j.pool.Name)
 	if j.cacheable {
 		j.Balancer.Begin(j.affinityKey)
 	}
-	admissionAttempt := j.Admission.RecordSent(now, j.admissionRequest(), u.Instance(), j.delay)
 	complete := false
 	defer func() {
 		now := time.Now()
@@ -73,7 +72,9 @@
 		if j.cacheable {
 			j.Balancer.End(j.affinityKey)
 		}
-		admissionAttempt.RecordEnd(now, complete)
+		if j.sent != nil {
+			j.sent.RecordEnd(now, complete)
+		}
 	}()
 	j.watchdog = j.startWatchdog(ctx, u)
 	defer j.watchdog.stop()
@@ -112,7 +113,7 @@
 		return result{verdict: rejected}
 	}
 	j.mayHaveRun = true
-	admissionAttempt.RecordFirstByte(time.Now())
+	j.sent.RecordFirstByte(time.Now())
 	isStream := head.EventStream && response.Status() == http.StatusOK
 	switch {
 	case response.Status() < http.StatusMultipleChoices && !head.Signed:
@@ -129,9 +130,14 @@
 	return j.conclude(ctx, u, r)
 }
 
-// recordConnected records that the attempt has a connection.
-func (j *job) recordConnected(through string) {
-	j.connectTime, j.through = time.Since(j.attemptStartedAt), through
+// recordConnected records that the attempt has a connection. The time until then says nothing of the
+// upstream's queue.
+func (j *job) recordConnected(u *traffic.Upstream, through string) {
+	now := time.Now()
+	j.connectTime, j.through = now.Sub(j.attemptStartedAt), through
+	if j.sent == nil {
+		j.sent = j.Admission.RecordSent(now, j.admissionRequest(), u.Instance(), j.delay)
+	}
 }
 
 // handleRequestError returns the result of a request that got no response header.
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -63,6 +63,8 @@
 	connectTime      time.Duration
 	// through is the host that the connection leads through; empty for none.
 	through string
+	// sent is the latest attempt as admission control counts it; nil before it has a connection.
+	sent *admission.Attempt
 	// sentCount is the number of upstreams that were sent the request.
 	sentCount int
 	// mayHaveRun is set once an upstream may have executed the request.
@@ -298,7 +300,7 @@
 		Header: j.Protocol.UpstreamHeader(j.r.Header, j.forwardMetadata(u)), Body: j.body,
 		MaxConnections: j.pool.MaxConnections / hostConnectionDivisor,
 		HeaderTimeout:  j.firstByteTimeout(j.sentCount + 1),
-		OnConnected:    j.recordConnected,
+		OnConnected:    func(through string) { j.recordConnected(u, through) },
 		AbortOnTimeout: func() bool { return !j.isFull(u) },
 	}
 	if !j.route.Repeatable() {
