--- a/common/traffic/request.go
+++ b/common/traffic/request.go
@@ -99,6 +99,9 @@
 	// Backoff is how long this host should send no further requests to the upstream, which rejected
 	// this one; 0 if the response states none.
 	Backoff time.Duration
+	// MaxRejections is how many requests a brittle upstream may reject within a second without
+	// failing; 0 if it does not say that it is brittle.
+	MaxRejections int
 	// IdleTimeout is how long the upstream keeps an idle connection open; 0 if the response states
 	// none.
 	IdleTimeout time.Duration
--- /dev/null
+++ b/jackdawd/internal/placement/brittle.go
@@ -0,0 +1,158 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"jackdawhinge/common/traffic"
+)
+
+const (
+	// brittleTTL is how long a pool counts as brittle after the last response that says so.
+	brittleTTL = 2 * time.Second
+	// brittleRejectionRatio is the part of the rejections that a brittle upstream bears which hosts
+	// cause together when all of them are rejected.
+	brittleRejectionRatio = 0.5
+	// The time for which a rejected host sends a brittle upstream nothing.
+	minBrittlePause = time.Second
+	maxBrittlePause = 5 * time.Second
+	// brittleReportTTL is how long an upstream that reported no free slot gets nothing for it.
+	brittleReportTTL = 200 * time.Millisecond
+	// brittleLoadRatio is the part of its slots that a brittle upstream uses in the mean if hosts
+	// have no slot each. The rest absorbs requests that hosts send at the same moment.
+	brittleLoadRatio = 0.3
+)
+
+// Brittleness limits the requests of this host to brittle upstreams, which fail if they reject too
+// many within a second. What other hosts send at the same moment is not known in time, so each host
+// uses a fixed share of an upstream's slots: together they need hardly more than there are. It is
+// safe for concurrent use.
+type Brittleness struct {
+	mu    sync.Mutex
+	pools map[string]*brittlePool
+}
+
+// brittlePool is a pool whose upstreams were brittle at seenAt and bear limit rejections a second.
+type brittlePool struct {
+	limit    int
+	seenAt   time.Time
+	pausedTo map[traffic.UpstreamInstance]time.Time
+	limiters map[traffic.UpstreamInstance]*rate.Limiter
+}
+
+// A BrittleShare is what determines a host's share of a brittle upstream.
+type BrittleShare struct {
+	// Hosts is the number of hosts of the fleet.
+	Hosts int
+	// MeanDuration is the mean duration of requests; 0 if not known.
+	MeanDuration time.Duration
+}
+
+// NewBrittleness returns a Brittleness without brittle pools.
+func NewBrittleness() *Brittleness { return &Brittleness{pools: map[string]*brittlePool{}} }
+
+// Record records the rejections a second that an upstream of a pool says it bears, 0 if it does not
+// say that it is brittle.
+func (b *Brittleness) Record(now time.Time, pool string, limit int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[pool]
+	switch {
+	case limit > 0 && p == nil:
+		p = &brittlePool{pausedTo: map[traffic.UpstreamInstance]time.Time{}, limiters: map[traffic.UpstreamInstance]*rate.Limiter{}}
+		b.pools[pool] = p
+		fallthrough
+	case limit > 0:
+		p.limit, p.seenAt = limit, now
+	case p != nil && now.Sub(p.seenAt) > brittleTTL:
+		delete(b.pools, pool)
+	}
+}
+
+// RecordRejection records that a brittle upstream rejected a request of this host for lack of room.
+func (b *Brittleness) RecordRejection(now time.Time, u *traffic.Upstream, share BrittleShare) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pool(now, u)
+	if p == nil {
+		return
+	}
+	seconds := float64(max(share.Hosts, 1)) / (brittleRejectionRatio * float64(p.limit))
+	pause := min(max(time.Duration(seconds*float64(time.Second)), minBrittlePause), maxBrittlePause)
+	// Without jitter hosts that were rejected together would return together.
+	p.pausedTo[u.Instance()] = now.Add(pause + rand.N(pause))
+}
+
+// IsBrittle reports whether the upstreams of a pool are brittle.
+func (b *Brittleness) IsBrittle(now time.Time, pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok := b.pools[pool]
+	return ok && now.Sub(p.seenAt) <= brittleTTL
+}
+
+// Accepts reports whether this host may send another request to an upstream with the given load.
+func (b *Brittleness) Accepts(now time.Time, u *traffic.Upstream, load Load, share BrittleShare) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pool(now, u)
+	if p == nil {
+		return true
+	}
+	if int(load.Own) >= ownSlots(u, share) || load.Own+load.Others >= float64(u.Slots) && load.Age < brittleReportTTL {
+		return false
+	}
+	limiter := p.limiter(now, u, share)
+	return now.After(p.pausedTo[u.Instance()]) && (limiter == nil || limiter.TokensAt(now) >= 1)
+}
+
+// Take counts a request to an upstream and reports whether this host may send it; own counts this
+// host's requests there, this one included.
+func (b *Brittleness) Take(now time.Time, u *traffic.Upstream, own int, share BrittleShare) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pool(now, u)
+	if p == nil {
+		return true
+	}
+	limiter := p.limiter(now, u, share)
+	return own <= ownSlots(u, share) && (limiter == nil || limiter.AllowN(now, 1))
+}
+
+// pool returns the state of an upstream's pool, or nil if it is not brittle. The lock must be held.
+func (b *Brittleness) pool(now time.Time, u *traffic.Upstream) *brittlePool {
+	p, ok := b.pools[u.Pool]
+	if !ok || now.Sub(p.seenAt) > brittleTTL || u.Slots == 0 {
+		return nil
+	}
+	return p
+}
+
+// ownSlots returns this host's share of an upstream's slots, 1 at least.
+func ownSlots(u *traffic.Upstream, share BrittleShare) int {
+	return max(u.Slots/max(share.Hosts, 1), 1)
+}
+
+// limiter returns the limiter of this host's requests to an upstream, or nil if the upstream bears
+// one request of each host at a time, or the duration of requests is not known.
+func (p *brittlePool) limiter(now time.Time, u *traffic.Upstream, share BrittleShare) *rate.Limiter {
+	if share.Hosts <= u.Slots+p.limit || share.MeanDuration == 0 {
+		return nil
+	}
+	perSecond := rate.Limit(brittleLoadRatio * float64(u.Slots) / float64(share.Hosts) / share.MeanDuration.Seconds())
+	l, ok := p.limiters[u.Instance()]
+	if !ok {
+		l = rate.NewLimiter(perSecond, 1)
+		// The first requests of all hosts must not come together.
+		l.AllowN(now, 1)
+		p.limiters[u.Instance()] = l
+	}
+	if math.Abs(float64(l.Limit()-perSecond)) > 0.1*float64(perSecond) {
+		l.SetLimit(perSecond)
+	}
+	return l
+}
--- /dev/null
+++ b/jackdawd/internal/placement/brittle_test.go
@@ -0,0 +1,62 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/common/traffic"
+)
+
+var brittleUpstream = traffic.Upstream{ID: "mailbox-1", Pool: "mailbox", Slots: 6}
+
+// All hosts together must not send a brittle upstream more than it has room for.
+func TestSharesOfBrittleUpstream(t *testing.T) {
+	tests := map[string]struct{ hosts, want int }{
+		"one host":          {hosts: 1, want: 6},
+		"three hosts":       {hosts: 3, want: 2},
+		"four hosts":        {hosts: 4, want: 1},
+		"as many as slots":  {hosts: 6, want: 1},
+		"hosts not known":   {hosts: 0, want: 6},
+		"more than enough":  {hosts: 8, want: 1},
+		"many, rate is low": {hosts: 60, want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, now, share := NewBrittleness(), time.Now(), BrittleShare{Hosts: test.hosts}
+			b.Record(now, "mailbox", 3)
+			accepted := 0
+			for b.Accepts(now, &brittleUpstream, Load{Own: float64(accepted)}, share) {
+				accepted++
+			}
+			require.Equal(t, test.want, accepted)
+			require.True(t, b.Take(now, &brittleUpstream, accepted, share))
+			require.False(t, b.Take(now, &brittleUpstream, accepted+1, share))
+		})
+	}
+}
+
+// A host that was rejected must leave a brittle upstream alone for a while, and use it again after.
+func TestRejectedHostPauses(t *testing.T) {
+	b, now, share := NewBrittleness(), time.Now(), BrittleShare{Hosts: 8}
+	b.RecordRejection(now, &brittleUpstream, share)
+	require.True(t, b.Accepts(now, &brittleUpstream, Load{}, share), "it is not brittle")
+	b.Record(now, "mailbox", 3)
+	b.RecordRejection(now, &brittleUpstream, share)
+	require.False(t, b.Accepts(now.Add(minBrittlePause), &brittleUpstream, Load{}, share))
+	later := now.Add(2 * maxBrittlePause)
+	b.Record(later, "mailbox", 3)
+	require.True(t, b.Accepts(later, &brittleUpstream, Load{}, share))
+}
+
+// The limits must end with the brittle time, also if no response says so.
+func TestBrittleTimeEnds(t *testing.T) {
+	b, now, share := NewBrittleness(), time.Now(), BrittleShare{Hosts: 8}
+	b.Record(now, "mailbox", 3)
+	b.Record(now, "mailbox", 0)
+	require.True(t, b.IsBrittle(now, "mailbox"), "a single response without the header says nothing")
+	require.False(t, b.Accepts(now, &brittleUpstream, Load{Own: 1}, share))
+	require.False(t, b.IsBrittle(now.Add(brittleTTL+1), "mailbox"))
+	require.True(t, b.Accepts(now.Add(brittleTTL+1), &brittleUpstream, Load{Own: 1}, share))
+}
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -63,11 +63,13 @@
 	return &Loads{byHash: map[uint32]*upstreamLoad{}}
 }
 
-// Begin counts a request of this host as in progress at an upstream.
-func (l *Loads) Begin(now time.Time, u *traffic.Upstream) {
+// Begin counts a request of this host at an upstream as begun, and returns how many it has there.
+func (l *Loads) Begin(now time.Time, u *traffic.Upstream) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entry(now, u.ShortHash()).own++
+	e := l.entry(now, u.ShortHash())
+	e.own++
+	return e.own
 }
 
 // End counts a request of this host at an upstream as ended.
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -57,7 +57,7 @@
 	j.attempted = append(j.attempted, u.Instance())
 	now := time.Now()
 	j.attemptStartedAt, j.connectTime, j.through, j.sent = now, 0, "", nil
-	j.Loads.Begin(now, u)
+	own := j.Loads.Begin(now, u)
 	j.RequestStats.RecordStart(now, j.pool.Name)
 	if j.cacheable {
 		j.Balancer.Begin(j.affinityKey)
@@ -76,6 +76,10 @@
 			j.sent.RecordEnd(now, complete)
 		}
 	}()
+	if !j.Brittleness.Take(now, u, own, j.brittleShare()) {
+		// Another request of this host has taken the place since this one was placed.
+		return result{verdict: unsent, err: errNoRoomAtBrittle}
+	}
 	j.watchdog = j.startWatchdog(ctx, u)
 	defer j.watchdog.stop()
 	req := j.upstreamRequest(u)
@@ -89,6 +93,7 @@
 	if head.Load != nil {
 		j.Loads.Record(time.Now(), u, *head.Load)
 	}
+	j.Brittleness.Record(time.Now(), u.Pool, head.MaxRejections)
 	isReplaced := head.NotExecuted && head.Upstream != "" && head.Upstream != u.ID
 	if head.Leaving && !isReplaced {
 		j.Membership.MarkLeaving(u.Instance())
@@ -107,7 +112,10 @@
 			// requests would be sent there only to be rejected as well.
 			j.Loads.Record(time.Now(), u, traffic.Load{Running: u.Slots, Waiting: u.Slots, Slots: u.Slots})
 		}
-		if head.Backoff == 0 {
+		switch {
+		case j.Brittleness.IsBrittle(time.Now(), u.Pool):
+			j.Brittleness.RecordRejection(time.Now(), u, j.brittleShare())
+		case head.Backoff == 0:
 			j.reportToMembership(ctx, u, control.ConnectionFailed)
 		}
 		return result{verdict: rejected}
@@ -208,6 +216,9 @@
 var (
 	errUnsigned  = errors.New("a success without the upstream's signature")
 	errNotStream = errors.New("no stream where one should go on")
+	// errNoRoomAtBrittle is the error of a request that would exceed this host's share of a brittle
+	// upstream.
+	errNoRoomAtBrittle = errors.New("this host uses its share of the brittle upstream")
 )
 
 // writeBuffered writes a buffered response to the caller.
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -90,6 +90,7 @@
 	Quarantine     Quarantine
 	Backoffs       *Backoffs
 	ColdLimiter    *placement.ColdLimiter
+	Brittleness    *placement.Brittleness
 	Recorder       Recorder
 	FailureDomain  string
 	// InSameRegion reports whether a failure domain is in this host's region.
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -17,6 +17,9 @@
 	// reasonCold is the reason if all upstreams of a request are cold and have got as many requests
 	// as they bear.
 	reasonCold = "upstreams-cold"
+	// reasonBrittle is the reason if all upstreams of a request are brittle and this host uses its
+	// share of each.
+	reasonBrittle = "upstreams-brittle"
 )
 
 // place selects an upstream that was not tried yet. It returns nil if there is none or the request
@@ -24,7 +27,7 @@
 func (j *job) place() *traffic.Upstream {
 	// Upstreams may have left while the request was tried elsewhere.
 	j.snapshot = j.Membership.Snapshot()
-	eligible, avoided, backoff := j.candidates()
+	eligible, avoided, left := j.candidates()
 	avoidedCount := len(avoided)
 	if len(eligible) == 0 {
 		eligible = avoided
@@ -35,7 +38,7 @@
 	choice.IdleRatio = temperature.IdleRatio(step.Evacuated)
 	upstream := j.choose(&choice, temperature)
 	if upstream == nil {
-		step.Decision, step.Reason = Stopped, j.refuseWithoutUpstream(temperature, backoff)
+		step.Decision, step.Reason = Stopped, j.refuseWithoutUpstream(temperature, left)
 		j.addStep(step)
 		return nil
 	}
@@ -95,13 +98,16 @@
 
 // refuseWithoutUpstream sets the refusal of a request that no upstream may get, and returns the
 // reason.
-func (j *job) refuseWithoutUpstream(temperature placement.Temperature, backoff time.Duration) string {
+func (j *job) refuseWithoutUpstream(temperature placement.Temperature, left leftOut) string {
 	switch {
+	case left.brittle > 0:
+		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams bear no more requests for now").WithRetryAfter(retryAfterFull)
+		return reasonBrittle
 	case temperature.AllCold():
 		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams have just started").WithRetryAfter(retryAfterFull)
 		return reasonCold
-	case backoff > 0:
-		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams want no requests for now").WithRetryAfter(backoff)
+	case left.backoff > 0:
+		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams want no requests for now").WithRetryAfter(left.backoff)
 		return reasonBackoff
 	}
 	return "no-upstream"
@@ -121,19 +127,21 @@
 // candidates returns the upstreams that may be tried, and separately those that are avoided for
 // recent failures. Upstreams of another region are eligible only if this region has none: a round
 // trip there takes longer than most targets allow, and the link between the regions fails at times.
-// Upstreams that asked for a backoff are omitted; backoff is the shortest time that remains of
-// theirs.
-func (j *job) candidates() (eligible, avoided []*traffic.Upstream, backoff time.Duration) {
+// Upstreams that asked for a backoff are omitted, and brittle ones of which this host uses its share.
+func (j *job) candidates() (eligible, avoided []*traffic.Upstream, left leftOut) {
 	var otherRegion []*traffic.Upstream
-	backoffs := j.Backoffs.Remaining(time.Now())
+	now, share := time.Now(), j.brittleShare()
+	backoffs := j.Backoffs.Remaining(now)
 	for _, u := range j.snapshot.ReadyUpstreams(j.pool.Name) {
 		remaining := backoffs[u.Instance()]
 		switch {
 		case slices.Contains(j.attempted, u.Instance()) || !u.Serves(j.request.Model):
 		case remaining > 0:
-			if backoff == 0 || remaining < backoff {
-				backoff = remaining
+			if left.backoff == 0 || remaining < left.backoff {
+				left.backoff = remaining
 			}
+		case !j.Brittleness.Accepts(now, u, j.Loads.Load(now, u), share):
+			left.brittle++
 		case j.snapshot.Avoided(u.ID):
 			avoided = append(avoided, u)
 		case !j.InSameRegion(u.FailureDomain):
@@ -145,7 +153,20 @@
 	if len(eligible) == 0 {
 		eligible = otherRegion
 	}
-	return eligible, avoided, backoff
+	return eligible, avoided, left
+}
+
+// leftOut says which upstreams were no candidates although they are ready.
+type leftOut struct {
+	// backoff is the shortest time that remains of their backoffs; 0 for none.
+	backoff time.Duration
+	// brittle counts brittle upstreams of which this host uses its share.
+	brittle int
+}
+
+// brittleShare returns what determines this host's share of brittle upstreams.
+func (j *job) brittleShare() placement.BrittleShare {
+	return placement.BrittleShare{Hosts: j.HostCount(), MeanDuration: j.RequestStats.MeanDuration(j.route.Name)}
 }
 
 // cacheSource returns the engine from which the given one may fetch the cached prompt, or nil.
