--- a/jackdawd/internal/control/outlier.go
+++ b/jackdawd/internal/control/outlier.go
@@ -51,6 +51,9 @@
 	// maxAvoidedDivisor limits the avoided hosts of a group to 1 in 3, not counting those
 	// that do not answer at all.
 	maxAvoidedDivisor = 3
+	// maxSilence is how long a sound host may be silent, from the first timeout until requests that
+	// are sent after its avoidance succeed.
+	maxSilence = 3 * time.Second
 	// successWindow is how long a success shows that this host's own network works: twice
 	// the target of the slowest classes.
 	successWindow = 2 * time.Second
@@ -79,6 +82,30 @@
 	lastFailure           time.Time
 	avoidance             time.Duration
 	avoidedUntil          time.Time
+	// silence is the silence that lasts; nil if the host has responded, or failed otherwise, since.
+	silence *silence
+}
+
+// silence is a time in which requests timed out and none succeeded, and the record before it.
+type silence struct {
+	start     time.Time
+	score     float64
+	avoidance time.Duration
+}
+
+// beginSilence records the first timeout after a response of a host without recent failures.
+func (r *hostRecord) beginSilence(now time.Time) {
+	if r.silence == nil && r.consecutiveUnanswered == 0 && r.score < scoreWeights[TimedOut] {
+		r.silence = &silence{start: now, score: r.score, avoidance: r.avoidance}
+	}
+}
+
+// endSilence makes a short silence count as one failure, however many requests waited meanwhile.
+func (r *hostRecord) endSilence(now time.Time) {
+	if s := r.silence; s != nil && now.Sub(s.start) < maxSilence {
+		r.score, r.avoidance = min(s.score+scoreWeights[TimedOut], scoreAfterAvoidance), s.avoidance
+	}
+	r.silence = nil
 }
 
 // NewOutlierDetector returns a detector without any results.
@@ -100,6 +127,7 @@
 		d.hosts[name] = r
 	}
 	if result == Succeeded {
+		r.endSilence(now)
 		r.score = max(r.score-successCredit, -maxCredit)
 		r.consecutiveSuccesses++
 		r.consecutiveUnanswered = 0
@@ -110,6 +138,11 @@
 		}
 		return false
 	}
+	if result == TimedOut {
+		r.beginSilence(now)
+	} else {
+		r.silence = nil
+	}
 	r.consecutiveSuccesses, r.lastFailure = 0, now
 	r.consecutiveUnanswered++
 	if result == Failed {
--- a/jackdawd/internal/control/outlier_test.go
+++ b/jackdawd/internal/control/outlier_test.go
@@ -164,3 +164,43 @@
 		})
 	}
 }
+
+// A sound host that is silent for a second at times must not be avoided longer each time: one silence
+// is one failure, however many requests waited for it.
+func TestSilenceCountsOnce(t *testing.T) {
+	d, now := NewOutlierDetector(), baseTime
+	for range 8 {
+		for range 10 {
+			d.Observe(now, "engine-1", TimedOut)
+		}
+		d.Observe(now, "engine-2", Succeeded)
+		require.NotEmpty(t, d.Avoided(now, group), "it is avoided while it is silent")
+		now = now.Add(minAvoidance)
+		require.Empty(t, d.Avoided(now, group))
+		for range 6 {
+			now = now.Add(100 * time.Millisecond)
+			d.Observe(now, "engine-1", Succeeded)
+		}
+		now = now.Add(5 * time.Second)
+	}
+}
+
+// A host that hangs with part of the requests must still be avoided longer each time.
+func TestHangingRequestsAreNoSilence(t *testing.T) {
+	d, now := NewOutlierDetector(), baseTime
+	avoidances := 0
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		d.Observe(now, "engine-2", Succeeded)
+		if len(d.Avoided(now, group)) > 0 {
+			continue
+		}
+		for _, result := range []Result{TimedOut, Succeeded, TimedOut, TimedOut, Succeeded} {
+			if d.Observe(now, "engine-1", result) {
+				avoidances++
+			}
+		}
+	}
+	require.Positive(t, avoidances)
+	require.Less(t, avoidances, 9, "20 s of avoidances of 1 s each would be more")
+}
