--- a/jackdawd/internal/entry/cut_test.go
+++ b/jackdawd/internal/entry/cut_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,3 +59,27 @@
 	}
 	return "reader"
 }
+
+// Requests for upstreams that no host reaches must be refused at once, not after a timeout for each
+// upstream.
+func TestUnreachableUpstreamsAreRefusedAtOnce(t *testing.T) {
+	for _, how := range []network.Cut{network.Hang, network.Reset} {
+		t.Run(string(how), func(t *testing.T) {
+			runFleet(t, 6, func(t *testing.T, f *testFleet) {
+				for _, h := range f.hosts {
+					f.cut(h, "", how)
+				}
+				f.callAll(stable, 100*time.Millisecond)
+				var total time.Duration
+				const calls = 50
+				for i := range calls {
+					start := time.Now()
+					require.Contains(t, f.call(t.Context(), f.hosts[i%6], "notice", fmt.Sprintf("notice-%d", i)), "not-run")
+					total += time.Since(start)
+					time.Sleep(20 * time.Millisecond)
+				}
+				require.Less(t, total/calls, 100*time.Millisecond)
+			})
+		})
+	}
+}
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -95,6 +95,8 @@
 	FailureDomain  string
 	// InSameRegion reports whether a failure domain is in this host's region.
 	InSameRegion func(failureDomain string) bool
+	// IsUnreached reports whether no host reached the upstream at an address a moment ago.
+	IsUnreached func(address string) bool
 	// LoadMultiple returns how many times the mean load of its pool an upstream may carry.
 	LoadMultiple func() float64
 	// HostCount returns the number of hosts in the fleet.
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -142,7 +142,7 @@
 			}
 		case !j.Brittleness.Accepts(now, u, j.Loads.Load(now, u), share):
 			left.brittle++
-		case j.snapshot.Avoided(u.ID):
+		case j.snapshot.Avoided(u.ID) || j.IsUnreached(u.Address):
 			avoided = append(avoided, u)
 		case !j.InSameRegion(u.FailureDomain):
 			otherRegion = append(otherRegion, u)
--- a/jackdawd/internal/transit/dialer.go
+++ b/jackdawd/internal/transit/dialer.go
@@ -22,8 +22,9 @@
 	maxPeersAsked = 8
 	// maxDialTime bounds the time to connect, whatever the path.
 	maxDialTime = 700 * time.Millisecond
-	// probeInterval is the time between direct connections to an upstream whose path is lost.
-	probeInterval = 500 * time.Millisecond
+	// probeInterval is the time between direct connections to an upstream whose path is lost, and
+	// the resolution of the times at which unreached ones are probed.
+	probeInterval = 250 * time.Millisecond
 	// probeTimeout bounds such a connection.
 	probeTimeout = 300 * time.Millisecond
 	// frameBufferBytes is the size of the buffer that frames are read into.
@@ -74,6 +75,7 @@
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
+				d.probeUnreached(ctx)
 				d.probeLostPaths(ctx)
 			}
 		}
@@ -98,7 +100,7 @@
 // takes longer than usual, or failed before.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	now := time.Now()
-	if d.options.Paths.isUnreached(now, address) {
+	if d.options.Paths.IsUnreached(now, address) {
 		return nil, errUnreached
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxDialTime)
@@ -315,6 +317,22 @@
 	probes.Wait()
 }
 
+// probeUnreached connects over any path to upstreams that were reached over none.
+func (d *Dialer) probeUnreached(ctx context.Context) {
+	for _, address := range d.options.Paths.takeProbes(time.Now()) {
+		d.done.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, maxDialTime)
+			defer cancel()
+			conn, err := d.dialAnyPath(ctx, "tcp", address)
+			if err != nil {
+				d.options.Paths.recordUnreached(time.Now(), address)
+				return
+			}
+			_ = conn.Close()
+		})
+	}
+}
+
 // peerOf returns the name of the host that a connection leads through; empty for none.
 func peerOf(conn net.Conn) string {
 	if c, ok := conn.(*Conn); ok {
--- a/jackdawd/internal/transit/paths.go
+++ b/jackdawd/internal/transit/paths.go
@@ -10,9 +10,12 @@
 const (
 	// pathRetention is how long the path to an upstream is remembered without connections over it.
 	pathRetention = time.Minute
-	// unreachedBackoff is how long no further connection is tried to an upstream that was reached
-	// neither directly nor through others, so that requests for it are refused at once.
-	unreachedBackoff = 300 * time.Millisecond
+	// minProbeBackoff is the time until an upstream that was reached over no path is probed; it
+	// doubles each time up to maxProbeBackoff.
+	minProbeBackoff = 250 * time.Millisecond
+	maxProbeBackoff = time.Second
+	// probeRetention is how long after its last use an upstream is probed.
+	probeRetention = 10 * time.Second
 	// lossWindow is the time within which two lost paths mean that the others may be lost too.
 	lossWindow = time.Second
 )
@@ -34,9 +37,11 @@
 	// lostAt is when the upstream was reached through another host while it was not reached
 	// directly; the zero time means that the direct path is not lost.
 	lostAt time.Time
-	// unreachedUntil is until when no connection is tried.
-	unreachedUntil time.Time
-	usedAt         time.Time
+	// probeAt is when an upstream that was reached over no path is probed, probeBackoff the time
+	// between its last two probes; the zero time means that it was not found to be unreached.
+	probeAt      time.Time
+	probeBackoff time.Duration
+	usedAt       time.Time
 }
 
 // NewPaths returns an empty record.
@@ -83,7 +88,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	found := p.path(now, address)
-	found.unreachedUntil = time.Time{}
+	found.probeAt, found.probeBackoff = time.Time{}, 0
 	if !found.lostAt.IsZero() {
 		return false, false
 	}
@@ -102,16 +107,41 @@
 func (p *Paths) recordUnreached(now time.Time, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	found := p.path(now, address)
-	found.lostAt, found.unreachedUntil = time.Time{}, now.Add(unreachedBackoff)
+	found, ok := p.byAddress[address]
+	if !ok {
+		found = p.path(now, address)
+	}
+	found.probeBackoff = min(max(2*found.probeBackoff, minProbeBackoff), maxProbeBackoff)
+	found.lostAt, found.probeAt = time.Time{}, now.Add(found.probeBackoff)
 }
 
-// isUnreached reports whether no connection to an upstream is to be tried.
-func (p *Paths) isUnreached(now time.Time, address string) bool {
+// IsUnreached reports whether an upstream was reached over no path, so that only probes connect to
+// it. An upstream whose probes have ended because nobody asked for it counts as reached.
+func (p *Paths) IsUnreached(now time.Time, address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	found, ok := p.byAddress[address]
-	return ok && now.Before(found.unreachedUntil)
+	if !ok || found.probeAt.IsZero() || now.Sub(found.usedAt) > probeRetention {
+		return false
+	}
+	found.usedAt = now
+	return true
+}
+
+// takeProbes returns the unreached upstreams that are to be probed now. They are not returned again
+// until the result is recorded.
+func (p *Paths) takeProbes(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var addresses []string
+	for address, found := range p.byAddress {
+		if found.probeAt.IsZero() || now.Before(found.probeAt) || now.Sub(found.usedAt) > probeRetention {
+			continue
+		}
+		found.probeAt = now.Add(maxDialTime + maxProbeBackoff)
+		addresses = append(addresses, address)
+	}
+	return addresses
 }
 
 // IsLost reports whether an upstream is reached through other hosts but not directly.
--- a/jackdawd/internal/transit/server.go
+++ b/jackdawd/internal/transit/server.go
@@ -129,7 +129,7 @@
 	switch {
 	case !s.options.IsUpstream(address):
 		return nil, unknownUpstream
-	case s.options.Paths.IsLost(address):
+	case s.options.Paths.IsLost(address), s.options.Paths.IsUnreached(time.Now(), address):
 		return nil, notReached
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), serverDialTimeout)
