--- a/jackdawd/internal/exchange/conn.go
+++ b/jackdawd/internal/exchange/conn.go
@@ -9,20 +9,17 @@
 	"golang.org/x/sys/unix"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/common/wire"
 )
 
 const (
 	// dialTimeout bounds the time to open a connection. Hosts are a few milliseconds apart, so a
 	// longer time means that packets are lost or the upstream is unreachable.
 	dialTimeout = 700 * time.Millisecond
-	// tcpUserTimeout ends a connection whose packets the peer does not acknowledge. Without it a
-	// request to an upstream behind a network partition would wait until its deadline.
-	tcpUserTimeout = 3 * time.Second
-	// The keep-alive probes detect, after about five seconds, a connection on which nothing is sent
-	// and whose peer went away without a reset.
-	keepAliveIdle     = 2 * time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 3
+	// maxSilence ends a connection whose peer acknowledges nothing, neither data nor keep-alive
+	// probes. Without it a request to an upstream behind a network partition would wait until its
+	// deadline. Sound upstreams are silent for a second at times.
+	maxSilence = 3 * time.Second
 )
 
 // conn is one connection to an upstream.
@@ -40,24 +37,7 @@
 }
 
 // NewDialer returns a dialer for connections to upstreams over TCP.
-func NewDialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var optErr error
-			err := c.Control(func(fd uintptr) {
-				optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return optErr
-		},
-	}
-}
+func NewDialer() *net.Dialer { return wire.NewDialer(dialTimeout, maxSilence) }
 
 // A relayedConn is a connection through another host, which frames what the upstream sends.
 type relayedConn interface {
--- a/jackdawd/internal/fleet/clients.go
+++ b/jackdawd/internal/fleet/clients.go
@@ -1,9 +1,8 @@
 package fleet
 
 import (
-	"net"
-
 	"jackdawhinge/common/peers"
+	"jackdawhinge/common/wire"
 )
 
 // Bytes returns the number of bytes sent and received in calls between this host and others.
@@ -38,7 +37,7 @@
 func (s *Source) newClient(secret string) *peers.Client {
 	dial := s.options.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: connectTimeout}).DialContext
+		dial = wire.NewDialer(connectTimeout, maxSilence).DialContext
 	}
 	return peers.NewClientWithDialer(secret, dial)
 }
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -28,6 +28,8 @@
 	// connectTimeout is the timeout of a connection to another host of the region. A host that is
 	// not powered up yet does not answer, and the kernel retransmits only after a second.
 	connectTimeout = 150 * time.Millisecond
+	// maxSilence ends a connection to another host that acknowledges nothing.
+	maxSilence = 3 * time.Second
 	// deregisterTimeout is how long a stopping host tries to remove its registration.
 	deregisterTimeout = 300 * time.Millisecond
 	secretBytes       = 16
--- a/jackdawd/internal/transit/server.go
+++ b/jackdawd/internal/transit/server.go
@@ -10,12 +10,16 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"jackdawhinge/common/wire"
 )
 
 const (
 	// serverDialTimeout bounds the time to reach an upstream for another host, which may ask
 	// others.
 	serverDialTimeout = 300 * time.Millisecond
+	// maxSilence ends a tunnel whose host acknowledges nothing, so that the upstream stops working.
+	maxSilence = 3 * time.Second
 	// endTimeout is how long the other host may take to close a connection that the upstream has
 	// ended.
 	endTimeout = time.Second
@@ -72,6 +76,9 @@
 
 // Serve serves the tunnel that a host opens on a connection, until it ends.
 func (s *Server) Serve(peer net.Conn) {
+	if err := wire.LimitSilence(peer, maxSilence); err != nil {
+		logrus.WithError(err).Warn("transit: A tunnel has no limit for silence.")
+	}
 	t, problem := s.open(peer)
 	if problem != "" {
 		logrus.WithFields(logrus.Fields{"peer-address": peer.RemoteAddr().String(), "problem": string(problem)}).Debug("transit: Tunnel refused.")
