--- a/jackdawd/internal/transit/conn.go
+++ b/jackdawd/internal/transit/conn.go
@@ -18,6 +18,8 @@
 	ended     bool
 	// leaving is set once the host has announced that it is shutting down.
 	leaving bool
+	// isNeeded reports whether the upstream is still not reached directly.
+	isNeeded func() bool
 	// onTimeout is called when the connection is silent for too long.
 	onTimeout func()
 }
@@ -28,9 +30,9 @@
 // NetConn returns the connection to that host.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Reusable reports whether another request may be sent on the connection.
+// Reusable reports whether another request may be sent on the connection, and should be.
 func (c *Conn) Reusable() bool {
-	return !c.ended && !c.leaving && c.remaining == 0 && c.reader.Buffered() == 0
+	return c.isNeeded() && !c.ended && !c.leaving && c.remaining == 0 && c.reader.Buffered() == 0
 }
 
 // ReportTimeout records that a response on the connection did not come in time.
--- a/jackdawd/internal/transit/dialer.go
+++ b/jackdawd/internal/transit/dialer.go
@@ -284,7 +284,11 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
-	conn := &Conn{Conn: raw, peer: peer.Name, reader: bufio.NewReaderSize(raw, frameBufferBytes), onTimeout: func() { d.record.recordFailure(time.Now(), peer.Name, address) }}
+	conn := &Conn{
+		Conn: raw, peer: peer.Name, reader: bufio.NewReaderSize(raw, frameBufferBytes),
+		isNeeded:  func() bool { return d.options.Paths.IsLost(address) },
+		onTimeout: func() { d.record.recordFailure(time.Now(), peer.Name, address) },
+	}
 	var reply openReply
 	err = writeMessage(raw, openRequest{Address: address})
 	if err == nil {
