--- a/soak/internal/plan/plan.go
+++ b/soak/internal/plan/plan.go
@@ -60,9 +60,16 @@
 	RestoreStore Kind = "restore-store"
 	// EvacuateDomain evacuates a failure domain, whose upstreams are cold afterwards.
 	EvacuateDomain Kind = "evacuate-domain"
+	// SilenceUpstream makes an upstream silent for a second, again and again.
+	SilenceUpstream Kind = "silence-upstream"
+	// TurnBrittle makes the upstreams of a service brittle.
+	TurnBrittle Kind = "turn-brittle"
 )
 
-// drawnKinds are all kinds but RestoreStore and EvacuateDomain, which have their own random streams.
+// upstreamStateKinds are kinds of faults that have a random stream together.
+var upstreamStateKinds = []Kind{SilenceUpstream, TurnBrittle}
+
+// drawnKinds are all kinds but those that have their own random streams.
 // Their order and number decide the plan of a seed.
 var drawnKinds = []Kind{
 	PauseHost, KillHost, StopHost, HangUp, StoreFails, StoreLimits, StoreSilent, StoreTorn, StoreSlow, StoreForgets,
@@ -108,6 +115,12 @@
 	// evacuationStream their random stream.
 	evacuationPercent = 60
 	evacuationStream  = 2
+	// upstreamStatePercent is the percentage of plans with faults of upstreamStateKinds,
+	// upstreamStateStream their random stream.
+	upstreamStatePercent = 75
+	upstreamStateStream  = 3
+	// upstreamStateDuration is longer than hosts may take to learn that upstreams are brittle.
+	upstreamStateDuration = 5 * time.Second
 	// evacuationDuration is longer than hosts may take to learn of an evacuation.
 	evacuationDuration = 6 * time.Second
 )
@@ -133,6 +146,7 @@
 	}
 	faults = append(faults, generateRestores(seed, length)...)
 	faults = append(faults, generateEvacuations(seed, length)...)
+	faults = append(faults, generateUpstreamStates(seed, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return slices.DeleteFunc(faults, func(f Fault) bool { return f.Start >= length })
 }
@@ -172,3 +186,20 @@
 	}
 	return faults
 }
+
+// generateUpstreamStates returns the faults of upstreamStateKinds in the plan of a seed: none, or up to three that
+// may overlap.
+func generateUpstreamStates(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, upstreamStateStream))
+	if length <= firstFaultStart || random.IntN(100) >= upstreamStatePercent {
+		return nil
+	}
+	var faults []Fault
+	for range 1 + random.IntN(3) {
+		f := Fault{Kind: upstreamStateKinds[random.IntN(len(upstreamStateKinds))], Target: random.IntN(targetRange)}
+		f.Start = firstFaultStart + time.Duration(random.Int64N(int64(length-firstFaultStart)))
+		f.Duration = min(upstreamStateDuration, max(length-f.Start, 0))
+		faults = append(faults, f)
+	}
+	return faults
+}
--- a/soak/internal/rig/fleet.go
+++ b/soak/internal/rig/fleet.go
@@ -235,6 +235,8 @@
 		host.storeProxy.Reset()
 	case plan.EvacuateDomain:
 		f.evacuate(failureDomains[fault.Target%len(failureDomains)], fault.Duration)
+	case plan.TurnBrittle:
+		f.turnBrittle(services[fault.Target%len(services)], fault.Duration)
 	case plan.AddRoute:
 		f.record.AddChange(f.operator.addRoute())
 	case plan.RevokeKey:
@@ -290,6 +292,41 @@
 	f.operator.setEvacuated(domain, false)
 }
 
+// maxBrittleRejections is how many requests a brittle upstream may reject within a second.
+const maxBrittleRejections = 3
+
+// turnBrittle makes the upstreams of a service brittle for a time.
+func (f *Fleet) turnBrittle(service string, d time.Duration) {
+	start := time.Now()
+	f.record.AddUpstreamFault(start, start.Add(d+restartWindow))
+	count, falls := 0, 0
+	for _, u := range f.upstreams {
+		if u.service == service {
+			count++
+			falls -= u.SetBrittle(maxBrittleRejections)
+		}
+	}
+	time.Sleep(d)
+	for _, u := range f.upstreams {
+		if u.service == service {
+			falls += u.SetBrittle(0)
+		}
+	}
+	f.record.AddBrittleTime(verdict.BrittleTime{Service: service, Upstreams: count, Falls: falls})
+}
+
+// silence is how long a sound upstream may be silent.
+const silence = time.Second
+
+// silenceRepeatedly makes the upstream behind a proxy silent again and again for a time.
+func silenceRepeatedly(proxy *Proxy, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(silence) {
+		proxy.SetMode(Blackhole)
+		time.Sleep(silence)
+		proxy.SetMode(Pass)
+	}
+}
+
 var storeFaults = map[plan.Kind]standin.Fault{
 	plan.StoreFails: standin.Unavailable, plan.StoreLimits: standin.RateLimited, plan.StoreSilent: standin.Unresponsive, plan.StoreTorn: standin.TruncatedBody,
 }
@@ -321,6 +358,8 @@
 		proxy.SetMode(map[plan.Kind]Mode{plan.DelayUpstream: Delay, plan.CutUpstream: Blackhole, plan.LoseUpstream: Lossy, plan.DropIdle: DropIdle}[fault.Kind])
 		time.Sleep(fault.Duration)
 		proxy.SetMode(Pass)
+	case plan.SilenceUpstream:
+		silenceRepeatedly(u.Proxy(), fault.Duration)
 	case plan.ResetUpstream:
 		u.Proxy().Reset()
 	case plan.ShedUpstream:
--- a/soak/internal/rig/upstream.go
+++ b/soak/internal/rig/upstream.go
@@ -131,6 +131,18 @@
 	}
 }
 
+// SetBrittle makes all incarnations brittle, 0 ends it, and returns how often they fell over so far.
+func (u *Upstream) SetBrittle(limit int) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	falls := 0
+	for _, r := range u.runners {
+		r.SetBrittle(limit)
+		falls += r.Falls()
+	}
+	return falls
+}
+
 // ColdCrashes returns the incarnations that crashed because they got too many requests while cold.
 func (u *Upstream) ColdCrashes() []string {
 	u.mu.Lock()
--- a/soak/internal/verdict/checks.go
+++ b/soak/internal/verdict/checks.go
@@ -26,6 +26,10 @@
 	// MaxRetryRatio and retryBurst bound the retries of all hosts together.
 	MaxRetryRatio = 0.2
 	retryBurst    = 3
+	// maxFalls, and a part of the upstreams more, is how often they may fall over while they are
+	// brittle.
+	maxFalls        = 2
+	maxFallsDivisor = 10
 	// MaxRecoveryTime is how long the system may take to serve again after the last fault.
 	MaxRecoveryTime = 6 * time.Second
 	// LoadMultiple and loadAllowance bound the load of an upstream by the mean of its pool. A small
@@ -53,7 +57,7 @@
 
 // Check returns all violations of the guarantees in a record.
 func Check(r *Record) []Violation {
-	checks := []func(*Record) []Violation{checkResponses, checkAtMostOnce, checkRefusals, checkRetries, checkDrain, checkRouteAdded, checkNoRollback, checkRevocation, checkEvacuation, checkColdUpstreams, checkRecovery, checkGracefulStop, checkLoadBound, checkConvergence}
+	checks := []func(*Record) []Violation{checkResponses, checkAtMostOnce, checkRefusals, checkRetries, checkDrain, checkRouteAdded, checkNoRollback, checkRevocation, checkEvacuation, checkColdUpstreams, checkRecovery, checkGracefulStop, checkLoadBound, checkConvergence, checkBrittleUpstreams}
 	var all []Violation
 	for _, check := range checks {
 		all = append(all, check(r)...)
@@ -268,6 +272,16 @@
 	return true
 }
 
+// checkBrittleUpstreams checks that hosts do not make brittle upstreams fall over.
+func checkBrittleUpstreams(r *Record) (out []Violation) {
+	for _, b := range r.BrittleTimes {
+		if b.Falls > maxFalls+b.Upstreams/maxFallsDivisor {
+			out = append(out, Violation{"brittle upstreams", fmt.Sprintf("%d upstreams of %s fell over %d times", b.Upstreams, b.Service, b.Falls)})
+		}
+	}
+	return out
+}
+
 // checkConvergence checks that all hosts know each other and the number of store restores at the
 // end of the run.
 func checkConvergence(r *Record) (out []Violation) {
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -79,6 +79,14 @@
 	EvacuatedUntil   time.Time
 }
 
+// A BrittleTime is a time in which the upstreams of a service were brittle, and how often they fell
+// over in it.
+type BrittleTime struct {
+	Service   string
+	Upstreams int
+	Falls     int
+}
+
 // HostView is what a host reports about the fleet and the store.
 type HostView struct {
 	// Hosts is the number of hosts that it knows, itself included; StoreRestores is how often the
@@ -101,10 +109,11 @@
 	GracefulStops []Interval
 	Changes       []Change
 	// ColdCrashes are the upstreams that crashed because they got too many requests while cold.
-	ColdCrashes []string
-	FaultEnd    time.Time
-	End         time.Time
-	Hosts       int
+	ColdCrashes  []string
+	BrittleTimes []BrittleTime
+	FaultEnd     time.Time
+	End          time.Time
+	Hosts        int
 	// HostViews are the views of all hosts at the end, StoreRestores how often the store was
 	// restored from a snapshot.
 	HostViews     []HostView
@@ -141,6 +150,13 @@
 	r.GracefulStops = append(r.GracefulStops, Interval{From: from, To: to, Host: host})
 }
 
+// AddBrittleTime records a time in which upstreams were brittle.
+func (r *Record) AddBrittleTime(b BrittleTime) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.BrittleTimes = append(r.BrittleTimes, b)
+}
+
 // AddChange records a change.
 func (r *Record) AddChange(c Change) {
 	r.mu.Lock()
