--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -22,6 +22,7 @@
 	newestCall   = serviceName + ".Newest"
 	reportCall   = serviceName + ".Report"
 	casesCall    = serviceName + ".Cases"
+	slotCall     = serviceName + ".Slot"
 )
 
 // FollowArgs describe what a follower has.
--- /dev/null
+++ b/jackdawd/internal/fleet/slots.go
@@ -0,0 +1,177 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"jackdawhinge/common/peers"
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/routing"
+)
+
+const (
+	// slotTimeout is the timeout of a call for a slot. A request waits for it before it is sent.
+	slotTimeout = 60 * time.Millisecond
+	// slotOwnerBackoff is how long the owner of a brittle upstream that did not answer is skipped.
+	slotOwnerBackoff = 2 * time.Second
+)
+
+// SlotArgs ask the owner of a brittle upstream for one of its slots, or give one back.
+type SlotArgs struct {
+	// Upstream is the short hash of the upstream, Slots how many requests it may get at a time.
+	Upstream uint32
+	Slots    int
+	// Lease is a random number that identifies the request.
+	Lease uint64
+	// TTL is how long the slot is held at most.
+	TTL time.Duration
+	// Release is set to give the slot back.
+	Release bool
+}
+
+// SlotReply says whether the request has a slot.
+type SlotReply struct {
+	Granted bool
+}
+
+// slotTable holds the slots of brittle upstreams that are in use, at their owner. It is safe for
+// concurrent use.
+type slotTable struct {
+	mu sync.Mutex
+	// expiry holds when the leases of an upstream's slots expire.
+	expiry map[uint32]map[uint64]time.Time
+}
+
+// apply grants or releases a slot.
+func (t *slotTable) apply(now time.Time, args *SlotArgs) (granted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	leases := t.expiry[args.Upstream]
+	if args.Release {
+		delete(leases, args.Lease)
+		return false
+	}
+	if leases == nil {
+		leases = map[uint64]time.Time{}
+		t.expiry[args.Upstream] = leases
+	}
+	for lease, expiry := range leases {
+		if now.After(expiry) {
+			delete(leases, lease)
+		}
+	}
+	if len(leases) >= args.Slots {
+		return false
+	}
+	leases[args.Lease] = now.Add(args.TTL)
+	return true
+}
+
+// slotOwners is the state with which a host asks the owners of brittle upstreams. It is safe for
+// concurrent use.
+type slotOwners struct {
+	mu      sync.Mutex
+	clients map[Peer]*peers.Client
+	// skippedUntil holds the hosts that did not answer.
+	skippedUntil map[string]time.Time
+}
+
+var errNoSlotOwner = errors.New("no host owns the upstream's slots")
+
+// slotOwner returns the host that counts the slots of an upstream: the first known one in the
+// upstream's rendezvous order that answers.
+func (s *Source) slotOwner(now time.Time, u *traffic.Upstream) (Peer, bool) {
+	s.slotOwners.mu.Lock()
+	defer s.slotOwners.mu.Unlock()
+	names := slices.DeleteFunc(slices.Clone(s.directory.KnownNames()), func(name string) bool {
+		return now.Before(s.slotOwners.skippedUntil[name])
+	})
+	if len(names) == 0 {
+		return Peer{}, false
+	}
+	name := slices.MaxFunc(names, func(a, b string) int {
+		return cmp.Compare(routing.RendezvousScore(u.Hash, routing.NameHash(a)), routing.RendezvousScore(u.Hash, routing.NameHash(b)))
+	})
+	return Peer{Name: name, Registration: s.directory.All()[name]}, true
+}
+
+// AcquireSlot asks the owner of a brittle upstream for one of its slots. If it is granted, release
+// must be called. It returns an error if no owner answers.
+func (s *Source) AcquireSlot(u *traffic.Upstream, ttl time.Duration) (release func(), granted bool, err error) {
+	owner, ok := s.slotOwner(time.Now(), u)
+	if !ok {
+		return nil, false, errNoSlotOwner
+	}
+	args := &SlotArgs{Upstream: u.ShortHash(), Slots: u.Slots, Lease: rand.Uint64(), TTL: ttl}
+	granted, err = s.callSlotOwner(owner, args)
+	if err != nil || !granted {
+		return nil, false, err
+	}
+	return func() {
+		released := *args
+		released.Release = true
+		go func() {
+			if _, err := s.callSlotOwner(owner, &released); err != nil {
+				logrus.WithError(err).WithField("peer", owner.Name).Debug("fleet: Giving back a slot failed. It expires.")
+			}
+		}()
+	}, true, nil
+}
+
+// callSlotOwner grants or releases a slot at its owner, which may be this host.
+func (s *Source) callSlotOwner(owner Peer, args *SlotArgs) (granted bool, err error) {
+	if owner.Name == s.options.Name {
+		return s.slots.apply(time.Now(), args), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), slotTimeout)
+	defer cancel()
+	var reply SlotReply
+	if err := s.slotClientFor(owner).Call(ctx, owner.Address, slotCall, args, &reply); err != nil {
+		s.skipSlotOwner(owner, err)
+		return false, err
+	}
+	return reply.Granted, nil
+}
+
+// skipSlotOwner makes another host count the slots for a while.
+func (s *Source) skipSlotOwner(owner Peer, err error) {
+	s.slotOwners.mu.Lock()
+	defer s.slotOwners.mu.Unlock()
+	s.slotOwners.skippedUntil[owner.Name] = time.Now().Add(slotOwnerBackoff)
+	logrus.WithError(err).WithField("peer", owner.Name).Info("fleet: The owner of a brittle upstream did not answer.")
+}
+
+// slotClientFor returns the client for calls for slots. It is a separate one, as a call that times
+// out closes the connection of its client.
+func (s *Source) slotClientFor(peer Peer) *peers.Client {
+	s.slotOwners.mu.Lock()
+	defer s.slotOwners.mu.Unlock()
+	c, ok := s.slotOwners.clients[peer]
+	if !ok {
+		c = s.newClient(peer.Secret)
+		s.slotOwners.clients[peer] = c
+	}
+	return c
+}
+
+// closeSlotClients closes the clients for calls for slots.
+func (s *Source) closeSlotClients() {
+	s.slotOwners.mu.Lock()
+	defer s.slotOwners.mu.Unlock()
+	for _, c := range s.slotOwners.clients {
+		c.Close()
+	}
+}
+
+// Slot grants or releases a slot of a brittle upstream that this host owns.
+func (s *service) Slot(args *SlotArgs, reply *SlotReply) error {
+	reply.Granted = s.source.slots.apply(time.Now(), args)
+	return nil
+}
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -102,6 +102,9 @@
 	// quarantinePeer.
 	quarantineClient *peers.Client
 	quarantinePeer   Peer
+	// slots holds the slots of brittle upstreams that this host owns; slotOwners is for those of others.
+	slots      slotTable
+	slotOwners slotOwners
 	// closedClientBytes counts the bytes of clients that were closed.
 	closedClientBytes int64
 
@@ -199,6 +202,8 @@
 		startWaitUntil: time.Now().Add(minStartWait + mathrand.N(startWaitJitter)),
 		changes:        make(chan upstreamUpdate, maxQueuedChanges), parentLeft: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1), refreshed: newSignal(), planUpdated: newSignal(), storeRecovered: newSignal(),
 	}
+	s.slots.expiry = map[uint32]map[uint64]time.Time{}
+	s.slotOwners.clients, s.slotOwners.skippedUntil = map[Peer]*peers.Client{}, map[string]time.Time{}
 	s.knownNotices.positions = map[string]traffic.LogPosition{}
 	s.listGuard.asOf, s.pendingListTime = unknownTime, unknownTime
 	s.listTime.Store(int64(o.Uptime() - unknownAge))
@@ -312,6 +317,7 @@
 	}
 	s.closeQuarantineClient()
 	s.mu.Unlock()
+	s.closeSlotClients()
 	s.done.Wait()
 	return err
 }
--- a/jackdawd/internal/placement/brittle.go
+++ b/jackdawd/internal/placement/brittle.go
@@ -22,15 +22,18 @@
 	maxBrittlePause = 5 * time.Second
 	// brittleReportTTL is how long an upstream that reported no free slot gets nothing for it.
 	brittleReportTTL = 200 * time.Millisecond
-	// brittleLoadRatio is the part of its slots that a brittle upstream uses in the mean if hosts
-	// have no slot each. The rest absorbs requests that hosts send at the same moment.
+	// brittleLoadRatio is the part of its slots that a brittle upstream uses in the mean if nobody
+	// leases them. The rest absorbs requests that hosts send at the same moment.
 	brittleLoadRatio = 0.3
+	// minBrittleDuration is the mean duration of requests if it is not known.
+	minBrittleDuration = 50 * time.Millisecond
 )
 
 // Brittleness limits the requests of this host to brittle upstreams, which fail if they reject too
 // many within a second. What other hosts send at the same moment is not known in time, so each host
-// uses a fixed share of an upstream's slots: together they need hardly more than there are. It is
-// safe for concurrent use.
+// uses a fixed share of an upstream's slots: together they need hardly more than there are. Where
+// there are too many hosts for that, each request needs a lease of a slot. It is safe for concurrent
+// use.
 type Brittleness struct {
 	mu    sync.Mutex
 	pools map[string]*brittlePool
@@ -100,27 +103,44 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pool(now, u)
-	if p == nil {
+	switch {
+	case p == nil:
 		return true
-	}
-	if int(load.Own) >= ownSlots(u, share) || load.Own+load.Others >= float64(u.Slots) && load.Age < brittleReportTTL {
+	case now.Before(p.pausedTo[u.Instance()]):
 		return false
+	case p.needsLease(u, share):
+		return load.Own+load.Others < float64(u.Slots) || load.Age >= brittleReportTTL
 	}
-	limiter := p.limiter(now, u, share)
-	return now.After(p.pausedTo[u.Instance()]) && (limiter == nil || limiter.TokensAt(now) >= 1)
+	return int(load.Own) < ownSlots(u, share)
 }
 
-// Take counts a request to an upstream and reports whether this host may send it; own counts this
-// host's requests there, this one included.
-func (b *Brittleness) Take(now time.Time, u *traffic.Upstream, own int, share BrittleShare) bool {
+// Take reports whether this host may send a request to an upstream, and whether it needs a lease of
+// one of its slots for that; own counts this host's requests there, this one included.
+func (b *Brittleness) Take(now time.Time, u *traffic.Upstream, own int, share BrittleShare) (ok, needsLease bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pool(now, u)
-	if p == nil {
-		return true
+	switch {
+	case p == nil:
+		return true, false
+	case p.needsLease(u, share):
+		return true, true
 	}
-	limiter := p.limiter(now, u, share)
-	return own <= ownSlots(u, share) && (limiter == nil || limiter.AllowN(now, 1))
+	return own <= ownSlots(u, share), false
+}
+
+// TakeWithoutLease counts a request that gets no lease as no host answers, and reports whether this
+// host may send it.
+func (b *Brittleness) TakeWithoutLease(now time.Time, u *traffic.Upstream, own int, share BrittleShare) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pool(now, u)
+	return p == nil || own <= 1 && p.limiter(now, u, share).AllowN(now, 1)
+}
+
+// needsLease reports whether one request of each host at a time may be more than the upstream bears.
+func (p *brittlePool) needsLease(u *traffic.Upstream, share BrittleShare) bool {
+	return share.Hosts > u.Slots+p.limit
 }
 
 // pool returns the state of an upstream's pool, or nil if it is not brittle. The lock must be held.
@@ -137,13 +157,10 @@
 	return max(u.Slots/max(share.Hosts, 1), 1)
 }
 
-// limiter returns the limiter of this host's requests to an upstream, or nil if the upstream bears
-// one request of each host at a time, or the duration of requests is not known.
+// limiter returns the limiter of this host's requests to an upstream whose slots nobody leases.
 func (p *brittlePool) limiter(now time.Time, u *traffic.Upstream, share BrittleShare) *rate.Limiter {
-	if share.Hosts <= u.Slots+p.limit || share.MeanDuration == 0 {
-		return nil
-	}
-	perSecond := rate.Limit(brittleLoadRatio * float64(u.Slots) / float64(share.Hosts) / share.MeanDuration.Seconds())
+	duration := max(share.MeanDuration, minBrittleDuration)
+	perSecond := rate.Limit(brittleLoadRatio * float64(u.Slots) / float64(share.Hosts) / duration.Seconds())
 	l, ok := p.limiters[u.Instance()]
 	if !ok {
 		l = rate.NewLimiter(perSecond, 1)
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -76,10 +76,11 @@
 			j.sent.RecordEnd(now, complete)
 		}
 	}()
-	if !j.Brittleness.Take(now, u, own, j.brittleShare()) {
-		// Another request of this host has taken the place since this one was placed.
+	release, ok := j.takeBrittle(u, own)
+	if !ok {
 		return result{verdict: unsent, err: errNoRoomAtBrittle}
 	}
+	defer release()
 	j.watchdog = j.startWatchdog(ctx, u)
 	defer j.watchdog.stop()
 	req := j.upstreamRequest(u)
@@ -138,6 +139,24 @@
 	return j.conclude(ctx, u, r)
 }
 
+// takeBrittle reports whether the request may be sent to an upstream that may be brittle; own counts
+// this host's requests there. The place is free again once release is called.
+func (j *job) takeBrittle(u *traffic.Upstream, own int) (release func(), ok bool) {
+	now, share := time.Now(), j.brittleShare()
+	ok, needsLease := j.Brittleness.Take(now, u, own, share)
+	if !ok || !needsLease {
+		return func() {}, ok
+	}
+	release, granted, err := j.SlotLeases.AcquireSlot(u, time.Until(j.deadline))
+	if err != nil {
+		return func() {}, j.Brittleness.TakeWithoutLease(now, u, own, share)
+	}
+	if !granted {
+		return nil, false
+	}
+	return release, true
+}
+
 // recordConnected records that the attempt has a connection. The time until then says nothing of the
 // upstream's queue.
 func (j *job) recordConnected(u *traffic.Upstream, through string) {
@@ -216,9 +235,8 @@
 var (
 	errUnsigned  = errors.New("a success without the upstream's signature")
 	errNotStream = errors.New("no stream where one should go on")
-	// errNoRoomAtBrittle is the error of a request that would exceed this host's share of a brittle
-	// upstream.
-	errNoRoomAtBrittle = errors.New("this host uses its share of the brittle upstream")
+	// errNoRoomAtBrittle is the error of a request for which a brittle upstream has no room.
+	errNoRoomAtBrittle = errors.New("the brittle upstream has no room")
 )
 
 // writeBuffered writes a buffered response to the caller.
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -76,6 +76,13 @@
 	MarkLeaving(instance traffic.UpstreamInstance)
 }
 
+// SlotLeases grant slots of brittle upstreams to the hosts of the fleet.
+type SlotLeases interface {
+	// AcquireSlot reports whether a request has one of an upstream's slots, for ttl at most; release
+	// gives it back. It returns an error if it is not known.
+	AcquireSlot(u *traffic.Upstream, ttl time.Duration) (release func(), granted bool, err error)
+}
+
 // Options are the dependencies and settings of a Handler.
 type Options struct {
 	Protocol       Protocol
@@ -91,6 +98,7 @@
 	Backoffs       *Backoffs
 	ColdLimiter    *placement.ColdLimiter
 	Brittleness    *placement.Brittleness
+	SlotLeases     SlotLeases
 	Recorder       Recorder
 	FailureDomain  string
 	// InSameRegion reports whether a failure domain is in this host's region.
