--- a/jackdawd/internal/fleet/slots.go
+++ b/jackdawd/internal/fleet/slots.go
@@ -118,9 +118,8 @@
 		released := *args
 		released.Release = true
 		go func() {
-			if _, err := s.callSlotOwner(owner, &released); err != nil {
-				logrus.WithError(err).WithField("peer", owner.Name).Debug("fleet: Giving back a slot failed. It expires.")
-			}
+			// If this fails, which callSlotOwner logs, the lease expires.
+			_, _ = s.callSlotOwner(owner, &released)
 		}()
 	}, true, nil
 }
--- a/jackdawd/internal/transit/server.go
+++ b/jackdawd/internal/transit/server.go
@@ -81,8 +81,7 @@
 	}
 	t, problem := s.open(peer)
 	if problem != "" {
-		logrus.WithFields(logrus.Fields{"peer-address": peer.RemoteAddr().String(), "problem": string(problem)}).Debug("transit: Tunnel refused.")
-		// An error means that the other host is gone.
+		// The other host logs the problem. An error means that it is gone.
 		_ = writeMessage(peer, openReply{Problem: problem})
 		return
 	}
