--- a/jackdawd/internal/transit/dialer_test.go
+++ b/jackdawd/internal/transit/dialer_test.go
@@ -164,8 +164,8 @@
 	runFixture(t, []string{"entry-2"}, func(t *testing.T, f *fixture) {
 		f.net.CutRoute(origin, upstreamAddress, network.Hang)
 		conn, upstream, _ := f.dial()
-		require.NoError(t, conn.Close())
 		require.NoError(t, upstream.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		require.NoError(t, conn.Close())
 		_, err := upstream.Read(make([]byte, 1))
 		require.ErrorIs(t, err, io.EOF)
 		synctest.Wait()
