--- a/jackdawd/internal/placement/brittle.go
+++ b/jackdawd/internal/placement/brittle.go
@@ -41,10 +41,10 @@
 
 // brittlePool is a pool whose upstreams were brittle at seenAt and bear limit rejections a second.
 type brittlePool struct {
-	limit    int
-	seenAt   time.Time
-	pausedTo map[traffic.UpstreamInstance]time.Time
-	limiters map[traffic.UpstreamInstance]*rate.Limiter
+	limit       int
+	seenAt      time.Time
+	pausedUntil map[traffic.UpstreamInstance]time.Time
+	limiters    map[traffic.UpstreamInstance]*rate.Limiter
 }
 
 // A BrittleShare is what determines a host's share of a brittle upstream.
@@ -63,17 +63,18 @@
 func (b *Brittleness) Record(now time.Time, pool string, limit int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.pools[pool]
-	switch {
-	case limit > 0 && p == nil:
-		p = &brittlePool{pausedTo: map[traffic.UpstreamInstance]time.Time{}, limiters: map[traffic.UpstreamInstance]*rate.Limiter{}}
+	p, ok := b.pools[pool]
+	if limit <= 0 {
+		if ok && now.Sub(p.seenAt) > brittleTTL {
+			delete(b.pools, pool)
+		}
+		return
+	}
+	if !ok {
+		p = &brittlePool{pausedUntil: map[traffic.UpstreamInstance]time.Time{}, limiters: map[traffic.UpstreamInstance]*rate.Limiter{}}
 		b.pools[pool] = p
-		fallthrough
-	case limit > 0:
-		p.limit, p.seenAt = limit, now
-	case p != nil && now.Sub(p.seenAt) > brittleTTL:
-		delete(b.pools, pool)
 	}
+	p.limit, p.seenAt = limit, now
 }
 
 // RecordRejection records that a brittle upstream rejected a request of this host for lack of room.
@@ -87,7 +88,7 @@
 	seconds := float64(max(share.Hosts, 1)) / (brittleRejectionRatio * float64(p.limit))
 	pause := min(max(time.Duration(seconds*float64(time.Second)), minBrittlePause), maxBrittlePause)
 	// Without jitter hosts that were rejected together would return together.
-	p.pausedTo[u.Instance()] = now.Add(pause + rand.N(pause))
+	p.pausedUntil[u.Instance()] = now.Add(pause + rand.N(pause))
 }
 
 // IsBrittle reports whether the upstreams of a pool are brittle.
@@ -106,7 +107,7 @@
 	switch {
 	case p == nil:
 		return true
-	case now.Before(p.pausedTo[u.Instance()]):
+	case now.Before(p.pausedUntil[u.Instance()]):
 		return false
 	case p.needsLease(u, share):
 		return load.Own+load.Others < float64(u.Slots) || load.Age >= brittleReportTTL
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -94,8 +94,10 @@
 	if head.Load != nil {
 		j.Loads.Record(time.Now(), u, *head.Load)
 	}
-	j.Brittleness.Record(time.Now(), u.Pool, head.MaxRejections)
 	isReplaced := head.NotExecuted && head.Upstream != "" && head.Upstream != u.ID
+	if !isReplaced {
+		j.Brittleness.Record(time.Now(), u.Pool, head.MaxRejections)
+	}
 	if head.Leaving && !isReplaced {
 		j.Membership.MarkLeaving(u.Instance())
 	}
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -250,7 +250,7 @@
 		return j.placementRefusal
 	case len(j.attempted) == 0:
 		return work.NewRefusal(http.StatusServiceUnavailable, work.NoUpstream, "no upstream takes requests").WithRetryAfter(retryAfterUnavailable)
-	case last.verdict == rejected:
+	case last.verdict == rejected, errors.Is(last.err, errNoRoomAtBrittle):
 		return work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstream is full").WithRetryAfter(retryAfterFull)
 	default:
 		return work.NewRefusal(http.StatusServiceUnavailable, work.NoUpstream, "no upstream could be reached").WithRetryAfter(retryAfterTransient)
--- a/jackdawd/internal/relay/upstreams_test.go
+++ b/jackdawd/internal/relay/upstreams_test.go
@@ -311,3 +311,40 @@
 		require.InDelta(t, 3.75, retryAfter, 0.76, "3 s and up to half as much jitter")
 	})
 }
+
+// Another upstream at the address of one that is gone must not make the pool of that one brittle.
+func TestReplacedUpstreamDoesNotMakePoolBrittle(t *testing.T) {
+	runFixture(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		f.setBehaviors(func(*standin.Runner) standin.Behavior {
+			return func(w http.ResponseWriter, _ *http.Request, _ []byte) bool {
+				w.Header().Set("X-Instance-Id", "other-1")
+				w.Header().Set("Server-Brittle", "1")
+				w.WriteHeader(http.StatusMisdirectedRequest)
+				return true
+			}
+		})
+		f.do(f.request(http.MethodGet, "/scan/x", "r1", ""))
+		require.False(t, f.handler.Brittleness.IsBrittle(time.Now(), "mailbox"))
+	})
+}
+
+// A request that finds no room at a brittle upstream must be refused as not run, also if the room
+// went to another one after it was placed.
+func TestRequestWithoutRoomAtBrittleUpstreamIsNotRun(t *testing.T) {
+	runFixture(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+		f.runners["mailbox-1"].SetBrittle(1)
+		require.Equal(t, http.StatusOK, f.do(f.request(http.MethodGet, "/scan/x", "r1", "")).status)
+		f.runners["mailbox-1"].SetServiceTime(time.Second)
+		f.leases.free = 1
+		var waiting sync.WaitGroup
+		statuses := make(chan int, 3)
+		for _, id := range []string{"r2", "r3", "r4"} {
+			waiting.Go(func() { statuses <- f.do(f.request(http.MethodPost, "/notice/x", id, "body")).status })
+		}
+		waiting.Wait()
+		got := []int{<-statuses, <-statuses, <-statuses}
+		require.ElementsMatch(t, []int{http.StatusOK, http.StatusServiceUnavailable, http.StatusServiceUnavailable}, got)
+		require.Equal(t, 1, f.runCount("r2")+f.runCount("r3")+f.runCount("r4"))
+		require.Equal(t, 1, f.leases.free, "the slot is given back")
+	})
+}
