--- a/jackdawd/internal/transit/dialer.go
+++ b/jackdawd/internal/transit/dialer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,6 +24,8 @@
 	probeInterval = 250 * time.Millisecond
 	// probeTimeout bounds such a connection.
 	probeTimeout = 300 * time.Millisecond
+	// maxProbes bounds these connections at a time: a host may have lost hundreds of paths.
+	maxProbes = 16
 	// frameBufferBytes is the size of the buffer that frames are read into.
 	frameBufferBytes = 4 << 10
 )
@@ -138,10 +141,24 @@
 	d.options.OnPathChange(address)
 }
 
-// probeLostPaths connects directly to the upstreams whose path is lost.
+// probeLostPaths connects directly to some of the upstreams whose path is lost, and to more of them as
+// long as any is back: paths are often lost and restored together.
 func (d *Dialer) probeLostPaths(ctx context.Context) {
+	lost := d.options.Paths.lost()
+	for len(lost) > 0 {
+		n := min(len(lost), maxProbes)
+		if !d.probeAll(ctx, lost[:n]) {
+			return
+		}
+		lost = lost[n:]
+	}
+}
+
+// probeAll connects directly to upstreams, all at once, and reports whether any was reached.
+func (d *Dialer) probeAll(ctx context.Context, addresses []string) bool {
 	var probes sync.WaitGroup
-	for _, address := range d.options.Paths.lost() {
+	var restored atomic.Bool
+	for _, address := range addresses {
 		probes.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
@@ -151,9 +168,11 @@
 			}
 			_ = conn.Close()
 			d.recordRestored(address)
+			restored.Store(true)
 		})
 	}
 	probes.Wait()
+	return restored.Load()
 }
 
 // probeUnreached connects over any path to upstreams that were reached over none.
--- a/jackdawd/internal/transit/dialer_test.go
+++ b/jackdawd/internal/transit/dialer_test.go
@@ -369,3 +369,38 @@
 		require.False(t, f.paths.IsLost(upstreamAddress))
 	})
 }
+
+// A host that has lost hundreds of paths must not spend its processor on probes, and must find all of
+// them when they are back.
+func TestProbesOfLostPathsAreBounded(t *testing.T) {
+	runFixture(t, []string{"entry-2"}, func(t *testing.T, f *fixture) {
+		const paths = 200
+		var mu sync.Mutex
+		probes, isCut := 0, true
+		dial := f.dialer.options.Dial
+		f.dialer.options.Dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+			if to[:5] != "10.2." {
+				return dial(ctx, network, to)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			probes++
+			if isCut {
+				return nil, errors.New("no route to host")
+			}
+			conn, _ := net.Pipe()
+			return conn, nil
+		}
+		for i := range paths {
+			f.paths.recordThrough(time.Now(), fmt.Sprintf("10.2.0.%d:80", i), "entry-2")
+		}
+		time.Sleep(10 * time.Second)
+		mu.Lock()
+		require.LessOrEqual(t, probes, maxProbes*int(10*time.Second/probeInterval))
+		require.Positive(t, probes)
+		isCut = false
+		mu.Unlock()
+		time.Sleep(probeInterval + time.Millisecond)
+		require.Empty(t, f.paths.lost())
+	})
+}
--- a/jackdawd/internal/transit/paths.go
+++ b/jackdawd/internal/transit/paths.go
@@ -160,7 +160,7 @@
 	return !ok || found.failingSince.IsZero()
 }
 
-// lost returns the upstreams whose direct path is lost.
+// lost returns the upstreams whose direct path is lost, in random order.
 func (p *Paths) lost() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
