--- a/common/traffic/request.go
+++ b/common/traffic/request.go
@@ -22,7 +22,10 @@
 	TimeLeft time.Duration
 	// ResumeAfter is the ID of the last event that the caller has of an earlier response; empty for
 	// none.
-	ResumeAfter  string
+	ResumeAfter string
+	// ResumedID is the ID of the caller's attempt that brought the first event of the response that the
+	// caller resumes; empty for none.
+	ResumedID    string
 	Model        string
 	PromptTokens int
 	OutputTokens int
--- a/common/traffic/upstream.go
+++ b/common/traffic/upstream.go
@@ -26,6 +26,9 @@
 	Pool          string
 	Address       string
 	FailureDomain string
+	// SoftwareVersion is the version of its software; empty if unknown. A stream can only be resumed at
+	// the version that began it.
+	SoftwareVersion string
 	// Slots is the number of requests that it runs concurrently.
 	Slots int
 	State UpstreamState
--- a/jackdawd/internal/membership/state.go
+++ b/jackdawd/internal/membership/state.go
@@ -212,7 +212,7 @@
 		return returned
 	}
 	s.changes.add(traffic.ListedEntry(u))
-	logrus.WithFields(logrus.Fields{"upstream": u.ID, "pool": u.Pool, "state": u.State}).Info("membership: Upstream entry changed.")
+	logrus.WithFields(logrus.Fields{"upstream": u.ID, "pool": u.Pool, "state": u.State, "software": u.SoftwareVersion}).Info("membership: Upstream entry changed.")
 	return true
 }
 
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -44,7 +44,7 @@
 	}
 	step.Cold = temperature.Cold != nil && !j.snapshot.ColdUntil(upstream.ID).IsZero()
 	j.delay = j.expectedDelay(upstream)
-	step.Upstream, step.Mean, step.Limit = upstream.ID, choice.Mean(), choice.Limit()
+	step.Upstream, step.SoftwareVersion, step.Mean, step.Limit = upstream.ID, upstream.SoftwareVersion, choice.Mean(), choice.Limit()
 	step.Load = j.Loads.Load(time.Now(), upstream)
 	step.PlanAge, step.HasPlan = choice.Plan.Age(time.Now())
 	step.Delay, step.MaxDelay = j.delay, choice.MaxDelay
--- a/jackdawd/internal/relay/record.go
+++ b/jackdawd/internal/relay/record.go
@@ -46,6 +46,8 @@
 	Elapsed  time.Duration
 	Decision Decision
 	Upstream string
+	// SoftwareVersion is that of the selected upstream.
+	SoftwareVersion string
 	// Candidates counts the eligible upstreams, Avoided those that are avoided for recent failures.
 	Candidates int
 	Avoided    int
@@ -87,6 +89,10 @@
 // A RequestRecord is the record of a request that has ended.
 type RequestRecord struct {
 	RequestID string
+	// ResumedID is the ID of the caller's attempt whose response the request resumes, ResumeAfter the
+	// ID of the last event that the caller has of it; empty for none.
+	ResumedID   string
+	ResumeAfter string
 	// Fingerprint is set if an upstream crashed while it ran the request or a copy of it.
 	Fingerprint quarantine.Fingerprint
 	Route       string
@@ -138,7 +144,7 @@
 // record delivers the record of the finished request.
 func (j *job) record(o Outcome, status int, refusal *work.Refusal) {
 	r := &RequestRecord{
-		RequestID: j.request.ID, Workspace: j.workspace.Name, Pool: j.pool.Name, Arrived: j.arrived, Steps: j.steps,
+		RequestID: j.request.ID, ResumedID: j.request.ResumedID, ResumeAfter: j.request.ResumeAfter, Workspace: j.workspace.Name, Pool: j.pool.Name, Arrived: j.arrived, Steps: j.steps,
 		Outcome: o, Status: status, Refusal: refusal, TimeToFirstByte: j.timeToFirstByte, MaxEventGap: j.maxEventGap, Duration: time.Since(j.arrived),
 	}
 	if j.suspected {
--- a/jackdawd/internal/requestlog/writer.go
+++ b/jackdawd/internal/requestlog/writer.go
@@ -61,6 +61,7 @@
 	if routine {
 		log = w.routineLog
 	}
+	logResumption(log, r)
 	for _, step := range r.Steps {
 		logStep(log, r, step)
 	}
@@ -93,11 +94,20 @@
 	return float64(xxhash.Sum64String(id)) < ratio*math.MaxUint64
 }
 
+// logResumption logs that a request resumes the stream of an earlier response.
+func logResumption(log *logrus.Logger, r *relay.RequestRecord) {
+	if r.ResumeAfter == "" && r.ResumedID == "" {
+		return
+	}
+	fields := logrus.Fields{"request": r.RequestID, "resumes": r.ResumedID, "resume-after": r.ResumeAfter}
+	log.WithFields(fields).WithTime(r.Arrived).Info("relay: The caller resumes a stream.")
+}
+
 func logStep(log *logrus.Logger, r *relay.RequestRecord, step relay.Step) {
 	fields := logrus.Fields{"request": r.RequestID, "upstream": step.Upstream, "after": step.Elapsed.String()}
 	switch step.Decision {
 	case relay.Placed:
-		fields["pool"] = r.Pool
+		fields["pool"], fields["software"] = r.Pool, step.SoftwareVersion
 		addConfiguration(fields, r)
 		fields["candidates"], fields["avoided"] = step.Candidates, step.Avoided
 		fields["own"], fields["others"], fields["mean"], fields["limit"] = step.Load.Own, roundToTenth(step.Load.Others), roundToTenth(step.Mean), roundToTenth(step.Limit)
@@ -193,6 +203,9 @@
 		kind = "none"
 	}
 	w.meter.Count("requests", "kind", kind, "outcome", string(r.Outcome))
+	if r.ResumeAfter != "" {
+		w.meter.Count("stream_resumptions", "by", "caller", "outcome", string(r.Outcome))
+	}
 	if r.Refusal != nil {
 		w.meter.Count("request_refusals", "code", string(r.Refusal.Code))
 	}
--- a/jackdawd/internal/requestlog/writer_test.go
+++ b/jackdawd/internal/requestlog/writer_test.go
@@ -67,6 +67,18 @@
 
 // A host that has just started refuses requests before it has a configuration. The log reported an
 // age of 292 years for the missing configuration.
+// The logs must say that a request resumes an earlier one, and at which software version it goes on.
+func TestResumptionByCallerIsLogged(t *testing.T) {
+	log, out := newLogger()
+	w := NewWriter(log, log, telemetry.NewMeter())
+	r := newRecord("r2", relay.Answered, time.Now())
+	r.ResumedID, r.ResumeAfter = "r1", "12"
+	r.Steps = append(r.Steps, relay.Step{Decision: relay.Placed, Upstream: "reader-1", SoftwareVersion: "v1.2"})
+	w.Record(r)
+	require.Contains(t, out.String(), `"resumes":"r1"`)
+	require.Contains(t, out.String(), `"software":"v1.2"`)
+}
+
 func TestMissingConfigurationHasNoAge(t *testing.T) {
 	log, out := newLogger()
 	w := NewWriter(log, log, telemetry.NewMeter())
