--- a/common/traffic/upstream.go
+++ b/common/traffic/upstream.go
@@ -56,6 +56,17 @@
 	return UpstreamInstance{ID: u.ID, Incarnation: u.Incarnation}
 }
 
+// A Software identifies one software version of the upstreams of one pool; 0 stands for none.
+type Software uint64
+
+// NewSoftware returns the software of a pool's upstreams that have a version.
+func NewSoftware(pool, version string) Software {
+	return Software(max(xxhash.Sum64String(pool+"\x00"+version), 1))
+}
+
+// Software returns the software of the upstream.
+func (u *Upstream) Software() Software { return NewSoftware(u.Pool, u.SoftwareVersion) }
+
 // HashID returns the hash of an upstream identifier, by which hosts rank upstreams and name them to
 // each other.
 func HashID(id string) uint64 { return xxhash.Sum64String(id) }
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -54,7 +54,7 @@
 
 // attempt sends the request to an upstream and forwards the response to the caller.
 func (j *job) attempt(ctx context.Context, u *traffic.Upstream) result {
-	j.attempted = append(j.attempted, u.Instance())
+	j.attempted, j.current = append(j.attempted, u.Instance()), u
 	now := time.Now()
 	j.attemptStartedAt, j.connectTime, j.through, j.sent = now, 0, "", nil
 	own := j.Loads.Begin(now, u)
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -55,6 +55,11 @@
 	cacheable   bool
 	// fetchFrom is the engine from which the selected one fetches the cached prompt, or nil.
 	fetchFrom *traffic.Upstream
+	// software is that of the upstream that sent the first event of the stream; 0 while there is no
+	// event, so that any upstream may send it.
+	software traffic.Software
+	// current is the upstream of the latest attempt.
+	current *traffic.Upstream
 	// attempted holds the upstreams that were sent the request or could not be reached.
 	attempted []traffic.UpstreamInstance
 	// attemptStartedAt is when the latest attempt started, connectTime how long it took to get a
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -17,6 +17,8 @@
 	// reasonCold is the reason if all upstreams of a request are cold and have got as many requests
 	// as they bear.
 	reasonCold = "upstreams-cold"
+	// reasonNoSoftware is the reason if no upstream has the software version that began the stream.
+	reasonNoSoftware = "no-upstream-of-version"
 	// reasonBrittle is the reason if all upstreams of a request are brittle and this host uses its
 	// share of each.
 	reasonBrittle = "upstreams-brittle"
@@ -106,6 +108,8 @@
 	case temperature.AllCold():
 		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams have just started").WithRetryAfter(retryAfterFull)
 		return reasonCold
+	case left.otherSoftware > 0 && left.backoff == 0:
+		return reasonNoSoftware
 	case left.backoff > 0:
 		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams want no requests for now").WithRetryAfter(left.backoff)
 		return reasonBackoff
@@ -136,6 +140,8 @@
 		remaining := backoffs[u.Instance()]
 		switch {
 		case slices.Contains(j.attempted, u.Instance()) || !u.Serves(j.request.Model):
+		case j.software != 0 && u.Software() != j.software:
+			left.otherSoftware++
 		case remaining > 0:
 			if left.backoff == 0 || remaining < left.backoff {
 				left.backoff = remaining
@@ -160,6 +166,8 @@
 type leftOut struct {
 	// backoff is the shortest time that remains of their backoffs; 0 for none.
 	backoff time.Duration
+	// otherSoftware counts those of another software version than the one that began the stream.
+	otherSoftware int
 	// brittle counts brittle upstreams of which this host uses its share.
 	brittle int
 }
--- a/jackdawd/internal/relay/versions_test.go
+++ b/jackdawd/internal/relay/versions_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -55,6 +56,8 @@
 		f.breakFirstAttempts(3)
 		for i := range 40 {
 			id := fmt.Sprintf("r%d", i)
+			// Each request begins with a whole budget of retries.
+			time.Sleep(10 * time.Second)
 			req, err := testCaller.Stream(t.Context(), "/digest/x", id, id, 9)
 			require.NoError(t, err)
 			got := f.do(req)
