--- a/jackdawd/internal/cmd/runplatformcmd.go
+++ b/jackdawd/internal/cmd/runplatformcmd.go
@@ -108,7 +108,7 @@
 		Name: s.Host, CallerAddress: s.CallerAddress, ReadinessAddress: s.ReadinessAddress, AdminAddress: s.AdminAddress, FailureDomain: s.FailureDomain, Region: s.Region, InSameRegion: s.InSameRegion,
 		Protocol:       platform.Protocol{},
 		Configurations: platform.NewConfigurationFeed(store), Upstreams: platform.NewUpstreamFeed(store),
-		PeerAddress: s.PeerAddress, Strength: s.Strength, FirstStart: s.FirstStart, HostRegistry: platform.NewHostRegistry(store), QuarantineStore: platform.NewQuarantineStore(store), DecodeConfiguration: platform.DecodeConfiguration,
+		PeerAddress: s.PeerAddress, Strength: s.Strength, FirstStart: s.FirstStart, HostRegistry: platform.NewHostRegistry(store), QuarantineStore: platform.NewQuarantineStore(store), HistoryStore: platform.NewSoftwareHistoryStore(store), DecodeConfiguration: platform.DecodeConfiguration,
 		Bounds: entryBounds(s.Bounds), MaxSockets: s.MaxSockets, MaxTotalBodyBytes: int64(float64(s.MemoryLimitBytes) * bodyMemoryRatio), Meter: meter, RoutineLogger: routineLog, AnomalyLogger: logrus.StandardLogger(),
 	})
 	if err != nil {
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -52,6 +52,8 @@
 		}
 		return 0
 	})
+	m.Gauge("stream_records", h.source.StreamRecords)
+	m.GaugeFamily("pool_software_versions", "pool", h.history.Versions)
 	m.GaugeFamily("retries_left", "pool", h.budgets.Remaining)
 	m.GaugeFamily("pool_upstreams", "pool", h.poolSizes)
 	m.GaugeFamily("pool_load_bound", "pool", h.poolLoadBounds)
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -22,6 +22,7 @@
 	"jackdawhinge/jackdawd/internal/quarantine"
 	"jackdawhinge/jackdawd/internal/relay"
 	"jackdawhinge/jackdawd/internal/requestlog"
+	"jackdawhinge/jackdawd/internal/resumption"
 	"jackdawhinge/jackdawd/internal/telemetry"
 	"jackdawhinge/jackdawd/internal/transit"
 )
@@ -78,6 +79,8 @@
 	HostRegistry fleet.HostRegistry
 	// QuarantineStore holds the notices of requests that crash upstreams.
 	QuarantineStore fleet.QuarantineStore
+	// HistoryStore holds which software versions the upstreams have had.
+	HistoryStore fleet.HistoryStore
 	// DecodeConfiguration decodes a configuration received from another host.
 	DecodeConfiguration func(document []byte) (*traffic.Configuration, error)
 	Bounds              Bounds
@@ -126,7 +129,9 @@
 	// tunnels connects other hosts to upstreams.
 	tunnels *transit.Server
 	// quarantine records which requests crash upstreams.
-	quarantine      *quarantine.Registry
+	quarantine *quarantine.Registry
+	// history holds which software versions the upstreams have had.
+	history         *resumption.History
 	loads           *placement.Loads
 	balancer        *placement.Balancer
 	coldLimiter     *placement.ColdLimiter
@@ -145,17 +150,18 @@
 	if o.Uptime == nil {
 		o.Uptime = uptime
 	}
-	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), paths: transit.NewPaths(), conns: newCallerConns(maxCallerConns(o.MaxSockets)), serverErr: make(chan error, 1)}
+	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), history: resumption.NewHistory(time.Now(), o.FirstStart), paths: transit.NewPaths(), conns: newCallerConns(maxCallerConns(o.MaxSockets)), serverErr: make(chan error, 1)}
 	h.bounds.Store(&o.Bounds)
 	h.tunnels = transit.NewServer(transit.ServerOptions{Dial: h.upstreamDialer(), Paths: h.paths, IsUpstream: h.isUpstream, MaxTunnels: max(o.MaxSockets/tunnelSocketDivisor, 1)})
 	h.balancer = placement.NewBalancer(h.loads, h.engines, h.loadMultiple)
 	h.source = fleet.NewSource(fleet.Options{
 		Name: o.Name, FailureDomain: o.FailureDomain, Region: o.Region, Address: o.PeerAddress, Strength: o.Strength, FirstStart: o.FirstStart, HostRegistry: o.HostRegistry,
 		Configurations: o.Configurations, Upstreams: o.Upstreams, Plans: h.balancer, Uptime: o.Uptime, MaxConfigurationAge: h.maxConfigurationAge, DecodeConfiguration: o.DecodeConfiguration,
-		Quarantine: h.quarantine, QuarantineStore: o.QuarantineStore, Listen: o.Listen, Dial: peers.DialFunc(o.Dial), Streams: map[string]peers.StreamHandler{transit.StreamName: h.tunnels.Serve},
+		Quarantine: h.quarantine, QuarantineStore: o.QuarantineStore, History: h.history, HistoryStore: o.HistoryStore, Listen: o.Listen, Dial: peers.DialFunc(o.Dial), Streams: map[string]peers.StreamHandler{transit.StreamName: h.tunnels.Serve},
 	})
 	h.tracker = membership.NewTracker(membership.Options{
 		Configurations: h.source.Configurations(), Upstreams: h.source.Upstreams(), Uptime: o.Uptime, Bounds: o.Bounds.Bounds,
+		OnSnapshot: func(s *membership.Snapshot) { h.source.ObserveUpstreams(s.AllPools()) },
 	})
 	h.source.Start(h.tracker)
 	h.coldLimiter = placement.NewColdLimiter(o.Name, func() []string { return h.source.Directory().KnownNames() }, func() placement.ColdTolerance { return h.bounds.Load().ColdTolerance })
@@ -167,7 +173,7 @@
 	h.budgets = relay.NewRetryBudgets(o.Bounds.RetryRatio, o.Bounds.RetryWindow)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Membership: h.tracker, Client: h.client, Loads: h.loads, Balancer: h.balancer, CacheLocations: placement.NewCacheLocations(), RequestStats: placement.NewRequestStats(),
-		RetryBudgets: h.budgets, Admission: admission.NewController(), Quarantine: h.quarantine, Backoffs: relay.NewBackoffs(), ColdLimiter: h.coldLimiter, Brittleness: placement.NewBrittleness(), SlotLeases: h.source, Recorder: requestlog.NewWriter(o.RoutineLogger, o.AnomalyLogger, o.Meter),
+		RetryBudgets: h.budgets, Admission: admission.NewController(), Quarantine: h.quarantine, Backoffs: relay.NewBackoffs(), ColdLimiter: h.coldLimiter, Brittleness: placement.NewBrittleness(), SlotLeases: h.source, Streams: h.source, Recorder: requestlog.NewWriter(o.RoutineLogger, o.AnomalyLogger, o.Meter),
 		FailureDomain: o.FailureDomain, InSameRegion: o.InSameRegion, MaxTotalBodyBytes: o.MaxTotalBodyBytes, LoadMultiple: h.loadMultiple, HostCount: h.hostCount, IsUnreached: func(address string) bool { return h.paths.IsUnreached(time.Now(), address) },
 	})
 	h.registerGauges(o.Meter)
--- a/jackdawd/internal/fleet/clients.go
+++ b/jackdawd/internal/fleet/clients.go
@@ -16,6 +16,7 @@
 	if s.quarantineClient != nil {
 		n += s.quarantineClient.Bytes()
 	}
+	n += s.sideCalls.bytes()
 	if s.server != nil {
 		n += s.server.Bytes()
 	}
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -15,14 +15,17 @@
 
 // The names of the RPC methods.
 const (
-	serviceName  = "Fleet"
-	followCall   = serviceName + ".Follow"
-	exchangeCall = serviceName + ".Exchange"
-	ageCall      = serviceName + ".Age"
-	newestCall   = serviceName + ".Newest"
-	reportCall   = serviceName + ".Report"
-	casesCall    = serviceName + ".Cases"
-	slotCall     = serviceName + ".Slot"
+	serviceName     = "Fleet"
+	followCall      = serviceName + ".Follow"
+	exchangeCall    = serviceName + ".Exchange"
+	ageCall         = serviceName + ".Age"
+	newestCall      = serviceName + ".Newest"
+	reportCall      = serviceName + ".Report"
+	casesCall       = serviceName + ".Cases"
+	slotCall        = serviceName + ".Slot"
+	streamsCall     = serviceName + ".Streams"
+	streamCall      = serviceName + ".Stream"
+	heldStreamsCall = serviceName + ".HeldStreams"
 )
 
 // FollowArgs describe what a follower has.
--- a/jackdawd/internal/fleet/slots.go
+++ b/jackdawd/internal/fleet/slots.go
@@ -11,7 +11,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"jackdawhinge/common/peers"
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/routing"
 )
@@ -19,8 +18,6 @@
 const (
 	// slotTimeout is the timeout of a call for a slot. A request waits for it before it is sent.
 	slotTimeout = 60 * time.Millisecond
-	// slotOwnerBackoff is how long the owner of a brittle upstream that did not answer is skipped.
-	slotOwnerBackoff = 2 * time.Second
 )
 
 // SlotArgs ask the owner of a brittle upstream for one of its slots, or give one back.
@@ -74,24 +71,13 @@
 	return true
 }
 
-// slotOwners is the state with which a host asks the owners of brittle upstreams. It is safe for
-// concurrent use.
-type slotOwners struct {
-	mu      sync.Mutex
-	clients map[Peer]*peers.Client
-	// skippedUntil holds the hosts that did not answer.
-	skippedUntil map[string]time.Time
-}
-
 var errNoSlotOwner = errors.New("no host owns the upstream's slots")
 
 // slotOwner returns the host that counts the slots of an upstream: the first known one in the
 // upstream's rendezvous order that answers.
 func (s *Source) slotOwner(now time.Time, u *traffic.Upstream) (Peer, bool) {
-	s.slotOwners.mu.Lock()
-	defer s.slotOwners.mu.Unlock()
 	names := slices.DeleteFunc(slices.Clone(s.directory.KnownNames()), func(name string) bool {
-		return now.Before(s.slotOwners.skippedUntil[name])
+		return s.sideCalls.isSkipped(now, name, slotCall)
 	})
 	if len(names) == 0 {
 		return Peer{}, false
@@ -132,43 +118,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), slotTimeout)
 	defer cancel()
 	var reply SlotReply
-	if err := s.slotClientFor(owner).Call(ctx, owner.Address, slotCall, args, &reply); err != nil {
-		s.skipSlotOwner(owner, err)
+	if err := s.sideClientFor(owner).Call(ctx, owner.Address, slotCall, args, &reply); err != nil {
+		s.sideCalls.skip(owner.Name, slotCall)
+		logrus.WithError(err).WithField("peer", owner.Name).Info("fleet: The owner of a brittle upstream did not answer.")
 		return false, err
 	}
 	return reply.Granted, nil
 }
 
-// skipSlotOwner makes another host count the slots for a while.
-func (s *Source) skipSlotOwner(owner Peer, err error) {
-	s.slotOwners.mu.Lock()
-	defer s.slotOwners.mu.Unlock()
-	s.slotOwners.skippedUntil[owner.Name] = time.Now().Add(slotOwnerBackoff)
-	logrus.WithError(err).WithField("peer", owner.Name).Info("fleet: The owner of a brittle upstream did not answer.")
-}
-
-// slotClientFor returns the client for calls for slots. It is a separate one, as a call that times
-// out closes the connection of its client.
-func (s *Source) slotClientFor(peer Peer) *peers.Client {
-	s.slotOwners.mu.Lock()
-	defer s.slotOwners.mu.Unlock()
-	c, ok := s.slotOwners.clients[peer]
-	if !ok {
-		c = s.newClient(peer.Secret)
-		s.slotOwners.clients[peer] = c
-	}
-	return c
-}
-
-// closeSlotClients closes the clients for calls for slots.
-func (s *Source) closeSlotClients() {
-	s.slotOwners.mu.Lock()
-	defer s.slotOwners.mu.Unlock()
-	for _, c := range s.slotOwners.clients {
-		c.Close()
-	}
-}
-
 // Slot grants or releases a slot of a brittle upstream that this host owns.
 func (s *service) Slot(args *SlotArgs, reply *SlotReply) error {
 	reply.Granted = s.source.slots.apply(time.Now(), args)
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -18,6 +18,7 @@
 	"jackdawhinge/common/peers"
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/membership"
+	"jackdawhinge/jackdawd/internal/resumption"
 )
 
 const (
@@ -76,6 +77,10 @@
 	// Quarantine holds the requests that crash upstreams; their notices are kept in the store.
 	Quarantine      Quarantine
 	QuarantineStore QuarantineStore
+	// History holds which software versions upstreams have had; nil means one of this process alone.
+	// HistoryStore keeps it for hosts that start; nil means that nothing does.
+	History      *resumption.History
+	HistoryStore HistoryStore
 	// Uptime is a monotonic clock that also advances while the host is suspended.
 	Uptime func() time.Duration
 	// MaxConfigurationAge returns the operators' in-force bound: how long an old configuration may be acted on.
@@ -102,9 +107,17 @@
 	// quarantinePeer.
 	quarantineClient *peers.Client
 	quarantinePeer   Peer
-	// slots holds the slots of brittle upstreams that this host owns; slotOwners is for those of others.
-	slots      slotTable
-	slotOwners slotOwners
+	// slots holds the slots of brittle upstreams that this host owns, streams which software began
+	// which stream.
+	slots     slotTable
+	streams   *resumption.Table
+	sideCalls sideCalls
+	startedAt time.Time
+	// unsavedHistory holds the pools whose histories of software versions are not stored yet;
+	// historyChanged is raised when there may be another. historyMu guards it.
+	historyMu      sync.Mutex
+	unsavedHistory map[string]bool
+	historyChanged *signal
 	// closedClientBytes counts the bytes of clients that were closed.
 	closedClientBytes int64
 
@@ -196,14 +209,17 @@
 	self := Peer{Name: o.Name, Registration: Registration{
 		Address: o.Address, FailureDomain: o.FailureDomain, Region: o.Region, Strength: o.Strength, Secret: hex.EncodeToString(secret),
 	}}
+	if o.History == nil {
+		o.History = resumption.NewHistory(time.Now(), o.FirstStart)
+	}
 	s := &Source{
-		options: o, directory: NewDirectory(self), subtree: newSubtree(), clients: map[Peer]*peers.Client{},
+		options: o, directory: NewDirectory(self), subtree: newSubtree(), clients: map[Peer]*peers.Client{}, streams: resumption.NewTable(), startedAt: time.Now(), unsavedHistory: map[string]bool{}, historyChanged: newSignal(),
 		joined: make(chan struct{}), sourceChosen: make(chan struct{}),
 		startWaitUntil: time.Now().Add(minStartWait + mathrand.N(startWaitJitter)),
 		changes:        make(chan upstreamUpdate, maxQueuedChanges), parentLeft: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1), refreshed: newSignal(), planUpdated: newSignal(), storeRecovered: newSignal(),
 	}
 	s.slots.expiry = map[uint32]map[uint64]time.Time{}
-	s.slotOwners.clients, s.slotOwners.skippedUntil = map[Peer]*peers.Client{}, map[string]time.Time{}
+	s.sideCalls.clients, s.sideCalls.skippedUntil = map[Peer]*peers.Client{}, map[silentHost]time.Time{}
 	s.knownNotices.positions = map[string]traffic.LogPosition{}
 	s.listGuard.asOf, s.pendingListTime = unknownTime, unknownTime
 	s.listTime.Store(int64(o.Uptime() - unknownAge))
@@ -221,6 +237,9 @@
 	}
 	s.done.Go(func() { s.followQuarantineNotices(ctx) })
 	s.done.Go(func() { s.publishQuarantineNotices(ctx) })
+	if s.options.HistoryStore != nil {
+		s.done.Go(func() { s.keepHistory(ctx) })
+	}
 	if s.options.Address == "" {
 		close(s.joined)
 		return
@@ -232,6 +251,9 @@
 		s.done.Go(func() { s.runExchange(ctx) })
 		s.done.Go(func() { s.reportRecords(ctx) })
 		s.done.Go(func() { s.followRecords(ctx) })
+		if !s.options.FirstStart {
+			s.done.Go(func() { s.fetchHeldStreams(ctx) })
+		}
 		s.maintainDirectory(ctx)
 	})
 }
@@ -317,7 +339,7 @@
 	}
 	s.closeQuarantineClient()
 	s.mu.Unlock()
-	s.closeSlotClients()
+	s.closeSideClients()
 	s.done.Wait()
 	return err
 }
--- a/jackdawd/internal/membership/snapshot.go
+++ b/jackdawd/internal/membership/snapshot.go
@@ -85,6 +85,9 @@
 // not be changed.
 func (s *Snapshot) AllUpstreams(pool string) []*traffic.Upstream { return s.all[pool] }
 
+// AllPools returns the upstreams by pool, ready or leaving; the map must not be changed.
+func (s *Snapshot) AllPools() map[string][]*traffic.Upstream { return s.all }
+
 // FirstSeen returns when this host first saw the current instance of an upstream, or the zero time.
 func (s *Snapshot) FirstSeen(id string) time.Time { return s.firstSeen[id] }
 
--- a/jackdawd/internal/membership/tracker.go
+++ b/jackdawd/internal/membership/tracker.go
@@ -69,6 +69,8 @@
 	// Uptime returns a monotonic time that also counts while the host is suspended.
 	Uptime func() time.Duration
 	Bounds Bounds
+	// OnSnapshot is called with each new snapshot, one at a time; nil for nothing. It must not block.
+	OnSnapshot func(*Snapshot)
 }
 
 // Bounds limit how long a change may take until it has effect, as operators set them.
@@ -381,6 +383,9 @@
 	snapshot := newSnapshot(s.configuration, s.upstreams, s.firstSeen, avoided)
 	snapshot.upstreamsKnown, snapshot.coldUntil, snapshot.evacuatedSince = s.upstreamsKnown, s.coldUpstreams(), maps.Clone(s.evacuatedSince)
 	t.snapshot.Store(snapshot)
+	if t.options.OnSnapshot != nil {
+		t.options.OnSnapshot(snapshot)
+	}
 	old := t.changes.Swap(s.changes.snapshot(s.configuration, s.withTimeLeftCold(time.Now())))
 	if old != nil {
 		close(old.superseded)
--- a/jackdawd/internal/relay/admission.go
+++ b/jackdawd/internal/relay/admission.go
@@ -41,7 +41,7 @@
 
 // maxDelay returns how long the request may queue at an upstream and still start on time.
 func (j *job) maxDelay() time.Duration {
-	if j.headerSent {
+	if j.isResumption() {
 		// The rest of a response that the caller already reads was admitted with its start.
 		return defaultTimeout
 	}
@@ -94,7 +94,7 @@
 // wouldStartTooLate reports whether the request would queue at an upstream for more than maxDelay,
 // or follows a more urgent request that was just refused there.
 func (j *job) wouldStartTooLate(u *traffic.Upstream, maxDelay time.Duration) bool {
-	if j.headerSent {
+	if j.isResumption() {
 		return false
 	}
 	return j.delay > maxDelay || j.Admission.MoreUrgentRefused(time.Now(), j.admissionRequest(), u.Instance())
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 	"jackdawhinge/jackdawd/internal/exchange"
 	"jackdawhinge/jackdawd/internal/membership"
 	"jackdawhinge/jackdawd/internal/placement"
+	"jackdawhinge/jackdawd/internal/resumption"
 	"jackdawhinge/jackdawd/internal/work"
 )
 
@@ -83,6 +85,16 @@
 	AcquireSlot(u *traffic.Upstream, ttl time.Duration) (release func(), granted bool, err error)
 }
 
+// Streams keeps which software version began each stream, beyond the life of this host.
+type Streams interface {
+	// RecordStream records which software began a stream of a pool, and returns when the record
+	// outlives this host, or after a moment.
+	RecordStream(pool string, record resumption.Record)
+	// FindStream finds out which software began a stream of a pool; a key of 0 stands for a stream
+	// that its caller does not name.
+	FindStream(ctx context.Context, pool string, key resumption.Key) resumption.Origin
+}
+
 // Options are the dependencies and settings of a Handler.
 type Options struct {
 	Protocol       Protocol
@@ -99,6 +111,7 @@
 	ColdLimiter    *placement.ColdLimiter
 	Brittleness    *placement.Brittleness
 	SlotLeases     SlotLeases
+	Streams        Streams
 	Recorder       Recorder
 	FailureDomain  string
 	// InSameRegion reports whether a failure domain is in this host's region.
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -140,6 +140,10 @@
 	}
 	j.pool, _ = j.snapshot.Configuration().Pool(j.route.PickPool(j.affinityKey))
 	j.cacheable = j.cacheable && j.pool.Engine
+	if refusal := j.findSoftware(ctx); refusal != nil {
+		j.refuse(refusal)
+		return
+	}
 	j.RetryBudgets.Deposit(j.arrived, j.pool.Name)
 	j.priorWait = j.Admission.WaitedBeforeRetry(j.route.Name, j.request.TimeLeft)
 	j.Admission.RecordArrival(time.Now(), j.admissionRequest())
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -109,6 +109,7 @@
 		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams have just started").WithRetryAfter(retryAfterFull)
 		return reasonCold
 	case left.otherSoftware > 0 && left.backoff == 0:
+		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.NoUpstream, "no upstream of the software version that began the stream takes requests").WithRetryAfter(retryAfterUnavailable)
 		return reasonNoSoftware
 	case left.backoff > 0:
 		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams want no requests for now").WithRetryAfter(left.backoff)
--- a/jackdawd/internal/relay/record.go
+++ b/jackdawd/internal/relay/record.go
@@ -5,6 +5,7 @@
 
 	"jackdawhinge/jackdawd/internal/placement"
 	"jackdawhinge/jackdawd/internal/quarantine"
+	"jackdawhinge/jackdawd/internal/resumption"
 	"jackdawhinge/jackdawd/internal/work"
 )
 
@@ -21,6 +22,8 @@
 	Retried Decision = "retried"
 	// Resumed: the rest of a stream is requested from another upstream.
 	Resumed Decision = "resumed"
+	// OriginFound: a request resumes an earlier stream, and its software version was looked up.
+	OriginFound Decision = "origin-found"
 	// Stopped: no other upstream is tried.
 	Stopped Decision = "stopped"
 )
@@ -48,6 +51,8 @@
 	Upstream string
 	// SoftwareVersion is that of the selected upstream.
 	SoftwareVersion string
+	// Origin is which software began the stream that the request resumes.
+	Origin resumption.Origin
 	// Candidates counts the eligible upstreams, Avoided those that are avoided for recent failures.
 	Candidates int
 	Avoided    int
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -68,7 +68,7 @@
 // writeEvents writes complete events to the caller and flushes them.
 func (j *job) writeEvents(resp *exchange.Response, events []byte) error {
 	if !j.headerSent {
-		j.software = j.current.Software()
+		j.recordSoftware()
 		// A resumed stream keeps the header of its first upstream.
 		j.writeHeader(resp.Status(), resp.Header())
 	}
--- a/jackdawd/internal/requestlog/writer.go
+++ b/jackdawd/internal/requestlog/writer.go
@@ -133,6 +133,9 @@
 		if step.Through != "" {
 			fields["through"] = step.Through
 		}
+	case relay.OriginFound:
+		fields["software"], fields["known-from"] = step.SoftwareVersion, step.Origin.Source
+		fields["asked"], fields["answered"] = step.Origin.Asked, step.Origin.Answered
 	case relay.Resumed:
 		fields["resume-after"] = step.ResumeAfter
 	case relay.Stopped:
@@ -164,11 +167,12 @@
 }
 
 var stepMessages = map[relay.Decision]string{
-	relay.Placed:  "relay: Placed.",
-	relay.Tried:   "relay: Attempt ended.",
-	relay.Retried: "relay: Retrying at another upstream.",
-	relay.Resumed: "relay: Resuming the stream at another upstream.",
-	relay.Stopped: "relay: Not retrying.",
+	relay.Placed:      "relay: Placed.",
+	relay.Tried:       "relay: Attempt ended.",
+	relay.Retried:     "relay: Retrying at another upstream.",
+	relay.Resumed:     "relay: Resuming the stream at another upstream.",
+	relay.OriginFound: "relay: Looked up which software version began the stream.",
+	relay.Stopped:     "relay: Not retrying.",
 }
 
 func roundToTenth(v float64) float64 { return math.Round(v*10) / 10 }
@@ -218,6 +222,8 @@
 			}
 		case relay.Tried:
 			w.meter.Count("tries", "verdict", step.Verdict)
+		case relay.OriginFound:
+			w.meter.Count("stream_origins", "known_from", string(step.Origin.Source))
 		case relay.Retried, relay.Resumed:
 			w.meter.Count("request_retries", "decision", string(step.Decision))
 		case relay.Stopped:
