--- a/jackdawd/internal/fleet/directory.go
+++ b/jackdawd/internal/fleet/directory.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/routing"
 )
 
 const (
@@ -44,6 +45,12 @@
 	Registration
 }
 
+// hashedPeer is a host with the hash of its name.
+type hashedPeer struct {
+	Peer
+	hash uint64
+}
+
 // suspect is the backoff state of a host that did not answer or had lost the store.
 type suspect struct {
 	since   time.Time
@@ -83,8 +90,9 @@
 	rejectedUntil time.Time
 	// byDomain holds the hosts of each failure domain of the region by rank.
 	byDomain map[string][]Peer
-	// names are the known hosts.
-	names []string
+	// names are the known hosts, inRegion those of this host's region that others can reach.
+	names    []string
+	inRegion []hashedPeer
 }
 
 // NewDirectory returns a directory that contains only this host.
@@ -297,6 +305,14 @@
 	return d.names
 }
 
+// regionPeers returns the hosts of this host's region that others can reach, including this one. The
+// slice must not be changed.
+func (d *Directory) regionPeers() []hashedPeer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inRegion
+}
+
 // All returns the registrations of the known hosts by name.
 func (d *Directory) All() map[string]Registration {
 	d.mu.Lock()
@@ -342,4 +358,10 @@
 	d.hosts[d.self.Name] = d.self.Registration
 	d.byDomain = d.hostsByDomain()
 	d.names = slices.Collect(maps.Keys(d.hosts))
+	d.inRegion = nil
+	for name, registration := range d.hosts {
+		if registration.Region == d.self.Region && registration.Address != "" {
+			d.inRegion = append(d.inRegion, hashedPeer{Peer{Name: name, Registration: registration}, routing.NameHash(name)})
+		}
+	}
 }
--- a/jackdawd/internal/fleet/streams.go
+++ b/jackdawd/internal/fleet/streams.go
@@ -92,17 +92,18 @@
 	score uint64
 }
 
-// streamRanking returns the hosts of the region, including this one, in the rendezvous order of a
-// stream.
+// streamRanking returns the first hosts of the region, which may include this one, in the rendezvous
+// order of a stream: this host and maxAskedHosts others, if there are as many.
 func (s *Source) streamRanking(key resumption.Key) []rankedPeer {
-	var ranking []rankedPeer
-	for name, registration := range s.directory.All() {
-		if registration.Address != "" && registration.Region == s.options.Region {
-			score := routing.RendezvousScore(uint64(key), routing.NameHash(name))
-			ranking = append(ranking, rankedPeer{Peer{Name: name, Registration: registration}, score})
+	ranking := make([]rankedPeer, 0, maxAskedHosts+2)
+	for _, p := range s.directory.regionPeers() {
+		ranked := rankedPeer{p.Peer, routing.RendezvousScore(uint64(key), p.hash)}
+		i, _ := slices.BinarySearchFunc(ranking, ranked, func(a, b rankedPeer) int { return cmp.Compare(b.score, a.score) })
+		if i <= maxAskedHosts {
+			ranking = slices.Insert(ranking, i, ranked)
+			ranking = ranking[:min(len(ranking), maxAskedHosts+1)]
 		}
 	}
-	slices.SortFunc(ranking, func(a, b rankedPeer) int { return cmp.Compare(b.score, a.score) })
 	return ranking
 }
 
@@ -269,14 +270,13 @@
 // fetchHeldStreams gets the records that this host is to hold from the others, after its start.
 func (s *Source) fetchHeldStreams(ctx context.Context) {
 	var calls sync.WaitGroup
-	for name, registration := range s.directory.All() {
-		peer := Peer{Name: name, Registration: registration}
-		if name == s.options.Name || registration.Address == "" || registration.Region != s.options.Region {
+	for _, p := range s.directory.regionPeers() {
+		if p.Name == s.options.Name {
 			continue
 		}
 		calls.Go(func() {
 			var reply HeldStreamsReply
-			if err := s.sideCall(ctx, peer, heldStreamsCall, &HeldStreamsArgs{Host: s.options.Name}, &reply); err == nil {
+			if err := s.sideCall(ctx, p.Peer, heldStreamsCall, &HeldStreamsArgs{Host: s.options.Name}, &reply); err == nil {
 				s.holdStreams(reply.Records)
 			}
 		})
--- a/jackdawd/internal/relay/versions_test.go
+++ b/jackdawd/internal/relay/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/resumption"
 	"jackdawhinge/platform/standin"
 )
 
@@ -101,3 +103,91 @@
 		require.Equal(t, http.StatusOK, got.status)
 	})
 }
+
+// resumeRequest returns a request by which a caller takes a stream up after event 4; an empty value
+// leaves its header out.
+func (f *fixture) resumeRequest(id, lastEvent, resumed string) *http.Request {
+	req := f.streamRequest("/digest/x", id, 9)
+	for name, value := range map[string]string{standin.LastEventIDHeader: lastEvent, standin.ResumesHeader: resumed} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	return req
+}
+
+// A caller must not get events of a version that did not begin its stream, whatever it says of the
+// stream.
+func TestResumptionByCaller(t *testing.T) {
+	versions := map[string]string{"reader-1": "v1", "reader-2": "v2"}
+	for name, test := range map[string]struct {
+		lastEvent, resumed string
+		status             int
+		body               string
+	}{
+		"the first attempt":        {"4", "r1", http.StatusOK, "same"},
+		"an unknown attempt":       {"4", "r9", http.StatusServiceUnavailable, ""},
+		"its own ID":               {"4", "r2", http.StatusServiceUnavailable, ""},
+		"no attempt":               {"4", "", http.StatusServiceUnavailable, ""},
+		"an attempt, but no event": {"", "r1", http.StatusOK, "any"},
+		"neither":                  {"", "", http.StatusOK, "any"},
+		"a long ID":                {"4", strings.Repeat("x", 3000), http.StatusServiceUnavailable, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFixture(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+				f.setVersions(versions)
+				f.streams.unrecorded = resumption.Origin{Source: resumption.Unknown}
+				first := f.do(f.streamRequest("/digest/x", "r1", 9))
+				require.NoError(t, first.err)
+				got := f.do(f.resumeRequest("r2", test.lastEvent, test.resumed))
+				require.NoError(t, got.err)
+				require.Equal(t, test.status, got.status, got.body)
+				switch test.body {
+				case "same":
+					require.True(t, strings.HasSuffix(first.body, got.body))
+					require.Contains(t, got.body, "id: 5\n")
+				case "any":
+					require.Contains(t, got.body, "id: 1\n")
+				default:
+					require.Zero(t, f.runCount("r2"), "refused as not run")
+					require.NotEmpty(t, got.header.Get("Retry-After"))
+				}
+			})
+		})
+	}
+}
+
+// Another workspace that names an attempt must not learn of its stream.
+func TestOtherWorkspaceResumesNothing(t *testing.T) {
+	runFixture(t, []string{"reader-1"}, func(t *testing.T, f *fixture) {
+		f.streams.unrecorded = resumption.Origin{Source: resumption.Unknown}
+		f.streams.RecordStream("reader", resumption.Record{Key: resumption.NewKey("other", "r1"), Software: traffic.NewSoftware("reader", ""), Expiry: time.Now().Add(time.Minute)})
+		require.Equal(t, http.StatusServiceUnavailable, f.do(f.resumeRequest("r2", "4", "r1")).status)
+	})
+}
+
+// A stream whose version has no upstream that takes requests must be refused at once, not after its
+// caller's deadline.
+func TestStreamWithoutUpstreamOfItsVersionIsRefusedAtOnce(t *testing.T) {
+	versions := map[string]string{"reader-1": "v1", "reader-2": "v1"}
+	runFixture(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+		f.setVersions(versions)
+		f.streams.RecordStream("reader", resumption.Record{Key: resumption.NewKey("mailroom", "r1"), Software: traffic.NewSoftware("reader", "v0"), Expiry: time.Now().Add(time.Minute)})
+		start := time.Now()
+		got := f.do(f.resumeRequest("r2", "4", "r1"))
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.Less(t, time.Since(start), 50*time.Millisecond)
+		require.Zero(t, f.runCount("r2"))
+		steps := f.recorder.lastRecord().Steps
+		require.Equal(t, reasonNoSoftware, steps[len(steps)-1].Reason)
+	})
+}
+
+// A stream that is taken up must not be refused because it would begin late: its caller has a part of
+// it already.
+func TestResumedStreamIsNotRefusedAsLate(t *testing.T) {
+	runFixture(t, []string{"reader-1"}, func(t *testing.T, f *fixture) {
+		j := &job{Handler: f.handler, software: 1, delay: time.Hour, route: &traffic.Route{FirstByteTarget: time.Second}}
+		require.False(t, j.wouldStartTooLate(&traffic.Upstream{}, j.maxDelay()))
+	})
+}
