--- a/soak/internal/cmd/cmd.go
+++ b/soak/internal/cmd/cmd.go
@@ -96,11 +96,14 @@
 	if err != nil {
 		return false, err
 	}
-	served := 0
+	served, resumed := 0, 0
 	for _, e := range record.Exchanges {
 		if e.Status == 200 && e.Complete {
 			served++
 		}
+		if e.Resumes != "" {
+			resumed++
+		}
 	}
 	violations := verdict.Check(record)
 	for _, v := range violations {
@@ -108,8 +111,8 @@
 			return false, err
 		}
 	}
-	_, err = fmt.Fprintf(w, "seed %d: %d promises broken; %d requests, %d served, %d runs, %d faults\n",
-		o.Seed, len(violations), len(record.Exchanges), served, len(record.Executions), len(o.Plan()))
+	_, err = fmt.Fprintf(w, "seed %d: %d promises broken; %d requests, %d served, %d resumptions, %d runs, %d faults\n",
+		o.Seed, len(violations), len(record.Exchanges), served, resumed, len(record.Executions), len(o.Plan()))
 	return len(violations) == 0, err
 }
 
--- a/soak/internal/rig/upstream.go
+++ b/soak/internal/rig/upstream.go
@@ -86,6 +86,9 @@
 	u.mu.Lock()
 	u.id = fmt.Sprintf("%s-%d-%d", u.service, u.index, len(u.runners))
 	u.runner = standin.NewRunner(u.id, 8)
+	if u.service == engineService && (u.index+len(u.runners))%2 == 1 {
+		u.runner.SetVersion(otherVersion)
+	}
 	u.runners, u.ids = append(u.runners, u.runner), append(u.ids, u.id)
 	u.server, u.proxy, u.state = &http.Server{Handler: u.runner}, proxy, "ready"
 	if len(u.runners) > 1 {
--- a/soak/internal/verdict/checks.go
+++ b/soak/internal/verdict/checks.go
@@ -57,7 +57,7 @@
 
 // Check returns all violations of the guarantees in a record.
 func Check(r *Record) []Violation {
-	checks := []func(*Record) []Violation{checkResponses, checkAtMostOnce, checkRefusals, checkRetries, checkDrain, checkRouteAdded, checkNoRollback, checkRevocation, checkEvacuation, checkColdUpstreams, checkRecovery, checkGracefulStop, checkLoadBound, checkConvergence, checkBrittleUpstreams}
+	checks := []func(*Record) []Violation{checkResponses, checkAtMostOnce, checkRefusals, checkRetries, checkDrain, checkRouteAdded, checkNoRollback, checkRevocation, checkEvacuation, checkColdUpstreams, checkRecovery, checkGracefulStop, checkLoadBound, checkConvergence, checkBrittleUpstreams, checkVersions}
 	var all []Violation
 	for _, check := range checks {
 		all = append(all, check(r)...)
@@ -82,6 +82,17 @@
 	return out
 }
 
+// checkVersions checks that no stream holds events of two software versions, whatever happened to the
+// hosts.
+func checkVersions(r *Record) (out []Violation) {
+	for _, e := range r.Exchanges {
+		if len(e.Versions) > 1 {
+			out = append(out, Violation{"one version", fmt.Sprintf("%s, which resumes %q after event %d, holds events of %v", e.ID, e.Resumes, e.ResumeAfter, e.Versions)})
+		}
+	}
+	return out
+}
+
 func executionsByID(r *Record) map[string][]Execution {
 	executions := map[string][]Execution{}
 	for _, execution := range r.Executions {
--- a/soak/internal/verdict/checks_test.go
+++ b/soak/internal/verdict/checks_test.go
@@ -82,6 +82,13 @@
 				r.Executions = append(r.Executions, Execution{ID: fmt.Sprint(i), Pool: "reader", Upstream: "u1", Started: at(20 + float64(i)/100), Ended: at(25)})
 			}
 		}},
+		"stream of two versions": {"one version", func(r *Record) {
+			first := Exchange{ID: "s", Route: Digest, Status: http.StatusOK, Events: 3, Body: "id: 1\ndata: x\n\nid: 2"}
+			first.AddVersions("v2", "v1")
+			resumed := Exchange{ID: "sr", Route: Digest, Status: http.StatusOK, Events: 3, Resumes: "s", ResumeAfter: first.LastEvent(), Versions: first.Versions, Body: "id: 2\ndata: y of v2\n\n"}
+			resumed.AddVersions("v2", "v1")
+			r.Exchanges = append(r.Exchanges, first, resumed)
+		}},
 		"request cut off by a stop": {"graceful stop", func(r *Record) {
 			r.GracefulStops = append(r.GracefulStops, Interval{From: at(2.05), To: at(5)})
 			r.Exchanges[1].Complete = false
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -43,10 +44,50 @@
 	WantBody string
 	// Complete is set if the body was read to its end without an error.
 	Complete bool
+	// Events is the number of events of a whole stream. Resumes is the ID of the request that the
+	// caller resumes, ResumeAfter the number of its last event.
+	Events      int
+	Resumes     string
+	ResumeAfter int
+	// Versions are the software versions that wrote events of the stream, over all its requests.
+	Versions []string
 	// RouteNumber is the added route that a probe asks for.
 	RouteNumber int
 }
 
+// LastEvent returns the number of the last whole event that the caller has.
+func (e *Exchange) LastEvent() int {
+	if !e.Route.Streams() || e.Status != http.StatusOK {
+		return e.ResumeAfter
+	}
+	return e.ResumeAfter + strings.Count(e.Body, eventEnd)
+}
+
+// IsResumable reports whether the exchange left the caller with the first events of a stream that may
+// be resumed.
+func (e *Exchange) IsResumable() bool {
+	return e.Route == Digest && !e.Complete && e.LastEvent() > 0 && e.LastEvent() < e.Events
+}
+
+// AddVersions adds the versions of the whole events in the body. Events of another version than the
+// usual one name it, which is removed from the body.
+func (e *Exchange) AddVersions(other, usual string) {
+	for _, event := range strings.SplitAfter(e.Body, eventEnd) {
+		version := usual
+		if strings.Contains(event, " of "+other) {
+			version = other
+		}
+		if strings.HasSuffix(event, eventEnd) && !slices.Contains(e.Versions, version) {
+			// The slice is shared with the exchange that this one resumes.
+			e.Versions = append(slices.Clip(e.Versions), version)
+		}
+	}
+	e.Body = strings.ReplaceAll(e.Body, " of "+other, "")
+}
+
+// eventEnd is the end of each event.
+const eventEnd = "\n\n"
+
 // An Execution is one request executed by an upstream.
 type Execution struct {
 	ID       string
