--- a/common/report/report.go
+++ b/common/report/report.go
@@ -27,6 +27,8 @@
 	Waiting       int     `json:"waiting"`
 	WaitingTokens int64   `json:"waiting-tokens"`
 	Limit         int64   `json:"limit"`
+	// SoftwareVersion is the version of the upstream's software; empty if it reports none.
+	SoftwareVersion string `json:"software,omitempty"`
 	// Cold is how much longer the upstream bears only the rate of a cold one.
 	Cold targets.Duration `json:"cold,omitempty"`
 }
--- a/jackdaw/internal/cmd/statuscmd.go
+++ b/jackdaw/internal/cmd/statuscmd.go
@@ -5,8 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -43,6 +46,9 @@
 				if err := printEvacuations(w, status.Evacuations); err != nil {
 					return err
 				}
+				if err := printSoftware(w, status.Upstreams); err != nil {
+					return err
+				}
 				if err := printClasses(w, status.Classes); err != nil {
 					return err
 				}
@@ -111,6 +117,30 @@
 	return w.Flush()
 }
 
+// printSoftware prints the software versions of models whose upstreams have several.
+func printSoftware(out io.Writer, upstreams []report.Upstream) error {
+	counts := map[string]map[string]int{}
+	for _, u := range upstreams {
+		if counts[u.Model] == nil {
+			counts[u.Model] = map[string]int{}
+		}
+		counts[u.Model][u.SoftwareVersion]++
+	}
+	for _, model := range slices.Sorted(maps.Keys(counts)) {
+		if len(counts[model]) < 2 {
+			continue
+		}
+		var versions []string
+		for _, version := range slices.Sorted(maps.Keys(counts[model])) {
+			versions = append(versions, fmt.Sprintf("%s (%d)", version, counts[model][version]))
+		}
+		if _, err := fmt.Fprintf(out, "%s runs several software versions: %s; streams are resumed only at their own\n", model, strings.Join(versions, ", ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func printStoreEra(out io.Writer, era int64) error {
 	if era == 0 {
 		return nil
--- a/jackdawd/internal/entry/admin.go
+++ b/jackdawd/internal/entry/admin.go
@@ -83,7 +83,7 @@
 	snapshot, now := h.tracker.Snapshot(), time.Now()
 	for i, u := range upstreams {
 		reports[i] = report.Upstream{
-			Name: u.ID, Model: pool, FailureDomain: u.FailureDomain, Load: int64(loads[i].Requests()), LoadKnown: true, MeanLoad: mean, Limit: int64(u.Slots),
+			Name: u.ID, Model: pool, FailureDomain: u.FailureDomain, Load: int64(loads[i].Requests()), LoadKnown: true, MeanLoad: mean, Limit: int64(u.Slots), SoftwareVersion: u.SoftwareVersion,
 			Cold: targets.Duration(max(snapshot.ColdUntil(u.ID).Sub(now), 0).Round(time.Millisecond)),
 		}
 	}
