--- a/jackdawd/internal/entry/fleet_test.go
+++ b/jackdawd/internal/entry/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,6 +52,8 @@
 type hostStore struct {
 	*fleetStore
 	readConfiguration bool
+	// unavailable is set while this host cannot reach the store.
+	unavailable atomic.Bool
 }
 
 // Put stores the registration of a host.
@@ -119,11 +122,16 @@
 	return maps.Clone(s.softwareHistories), nil
 }
 
+var errStoreUnavailable = errors.New("the store is unavailable")
+
 type hostConfigurations struct{ *hostStore }
 
 // Next returns the configuration once, and then waits.
 func (s hostConfigurations) Next(ctx context.Context, wait time.Duration) (*traffic.Configuration, error) {
 	pause.For(ctx, storeLatency)
+	if s.unavailable.Load() {
+		return nil, errStoreUnavailable
+	}
 	if s.readConfiguration {
 		pause.For(ctx, wait)
 		return nil, ctx.Err()
@@ -139,6 +147,9 @@
 // Next returns the list of upstreams.
 func (s hostUpstreams) Next(ctx context.Context) (traffic.UpstreamChange, error) {
 	pause.For(ctx, storeLatency)
+	if s.unavailable.Load() {
+		return traffic.UpstreamChange{}, errStoreUnavailable
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change := traffic.UpstreamChange{Complete: true}
@@ -184,6 +195,7 @@
 	*Host
 	name, callerAddress, peerAddress string
 	client                           *http.Client
+	store                            *hostStore
 }
 
 // fleetConfiguration returns a version of the encoded configuration.
@@ -240,6 +252,7 @@
 func (f *testFleet) newHost(i int, firstStart bool) *testHost {
 	h := &testHost{name: fmt.Sprintf("entry-%d", i), callerAddress: fmt.Sprintf("10.0.0.%d:80", i+1), peerAddress: fmt.Sprintf("10.0.0.%d:7341", i+1)}
 	store := &hostStore{fleetStore: f.store}
+	h.store = store
 	host, err := NewHost(Options{
 		Name: h.name, FailureDomain: fmt.Sprintf("domain-%d", i%2), InSameRegion: func(string) bool { return true }, Protocol: platform.Protocol{},
 		Configurations: hostConfigurations{store}, Upstreams: hostUpstreams{store}, PeerAddress: h.peerAddress, Strength: 1, FirstStart: firstStart,
--- a/jackdawd/internal/entry/versions_test.go
+++ b/jackdawd/internal/entry/versions_test.go
@@ -314,6 +314,51 @@
 	}
 }
 
+// Hosts that restart one after the other must hold the copies of a stream again before its own host dies.
+func TestRestartedHostsHoldCopiesAgain(t *testing.T) {
+	runFleet(t, 6, func(_ *testing.T, f *testFleet) {
+		f.setOtherVersion("reader-3", "reader-4")
+		for _, r := range f.runners {
+			r.SetEventInterval(30 * time.Millisecond)
+		}
+		wait := f.begin(f.at(0), 24)
+		time.Sleep(300 * time.Millisecond)
+		f.restart(1, 3, 5)
+		time.Sleep(300 * time.Millisecond)
+		f.restart(2, 4)
+		time.Sleep(300 * time.Millisecond)
+		f.kill(f.hosts[0])
+		streams := wait()
+		f.resume(f.at(1, 2, 3, 4, 5), streams)
+		f.requireOneVersion(streams, len(streams))
+	})
+}
+
+// A host that is cut off from the store and all other hosts does not hear of a second version, and must
+// not take the one that it knows for that of a caller's stream.
+func TestIsolatedHostGuessesNoVersion(t *testing.T) {
+	runFleet(t, 6, func(_ *testing.T, f *testFleet) {
+		f.callAll(stable, 200*time.Millisecond)
+		f.hosts[5].store.unavailable.Store(true)
+		f.net.SetFault(f.hosts[5].peerAddress, network.Partitioned)
+		time.Sleep(200 * time.Millisecond)
+		f.addEngines(otherVersion, "reader-5", "reader-6")
+		f.loseEngines("reader-1", "reader-2")
+		time.Sleep(2 * time.Second)
+		wait := f.begin(f.at(0), 24)
+		time.Sleep(800 * time.Millisecond)
+		f.kill(f.hosts[0])
+		f.net.SetFault(f.hosts[5].peerAddress, "")
+		for _, h := range f.hosts[1:5] {
+			f.net.SetFault(h.peerAddress, network.Partitioned)
+		}
+		time.Sleep(300 * time.Millisecond)
+		streams := wait()
+		f.resume(f.at(5), streams)
+		f.requireOneVersion(streams, 0)
+	})
+}
+
 // A stream whose software version has no engine left must not go on at the version that is left.
 func TestStreamOfReplacedVersionIsNotResumed(t *testing.T) {
 	for name, all := range map[string]bool{"its host dies": false, "all hosts lose power": true} {
--- a/jackdawd/internal/fleet/software_history.go
+++ b/jackdawd/internal/fleet/software_history.go
@@ -80,6 +80,7 @@
 			return
 		}
 	}
+	s.fetchHeldStreams(ctx)
 	for backoff := time.Duration(0); ctx.Err() == nil; {
 		changed := s.historyChanged.raised()
 		if !s.saveHistory(ctx) {
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -251,9 +251,6 @@
 		s.done.Go(func() { s.runExchange(ctx) })
 		s.done.Go(func() { s.reportRecords(ctx) })
 		s.done.Go(func() { s.followRecords(ctx) })
-		if !s.options.FirstStart {
-			s.done.Go(func() { s.fetchHeldStreams(ctx) })
-		}
 		s.maintainDirectory(ctx)
 	})
 }
--- a/jackdawd/internal/fleet/streams.go
+++ b/jackdawd/internal/fleet/streams.go
@@ -22,6 +22,9 @@
 	// maxAskedHosts is how many hosts are asked for the record of a stream, in rendezvous order. Hosts
 	// that came, left or did not answer since the stream began shift its copies by a few places.
 	maxAskedHosts = 8
+	// maxOnlyVersionAge is the age up to which a list of upstreams says that there is no other version.
+	// Hosts that are not cut off have a newer one.
+	maxOnlyVersionAge = 3 * time.Second
 	// streamTimeout is the timeout of a call about a stream.
 	streamTimeout = 200 * time.Millisecond
 	// maxFirstEventWait is how long the first event of a stream waits for another host to hold its
@@ -195,23 +198,26 @@
 	if software, ok := s.streams.Find(now, key); ok && key != 0 {
 		return resumption.Origin{Software: software, Source: resumption.ThisHost}
 	}
-	if version, ok := s.options.History.Only(now, pool); ok {
-		return resumption.NewOrigin(pool, version, resumption.OnlyVersion)
-	}
+	only, hasOnly := s.options.History.Only(now, pool)
 	if key == 0 {
+		if hasOnly {
+			return resumption.NewOrigin(pool, only, resumption.OnlyVersion)
+		}
 		return resumption.Origin{Source: resumption.Unknown}
 	}
 	origin, denials := s.askForStream(ctx, key)
 	if origin.Software != 0 {
 		return origin
 	}
+	listAge := s.ListAge()
+	if hasOnly && (listAge <= maxOnlyVersionAge || s.isUnrecorded(key, denials, listAge)) {
+		return origin.InferredFrom(pool, only, resumption.OnlyVersion)
+	}
 	version, since, ok := s.options.History.BeforeMix(now, pool)
-	if !ok || !s.isUnrecorded(key, denials, now.Sub(since)) {
-		return origin
+	if ok && s.isUnrecorded(key, denials, now.Sub(since)) {
+		return origin.InferredFrom(pool, version, resumption.BeforeOtherVersion)
 	}
-	known := resumption.NewOrigin(pool, version, resumption.BeforeOtherVersion)
-	known.Asked, known.Answered = origin.Asked, origin.Answered
-	return known
+	return origin
 }
 
 // askForStream asks other hosts for the record of a stream, all at once, and returns the first one.
@@ -234,7 +240,7 @@
 			answers <- a
 		}()
 	}
-	origin, denials = resumption.Origin{Source: resumption.Unknown, Asked: len(holders)}, map[string]time.Duration{s.options.Name: time.Since(s.startedAt)}
+	origin, denials = resumption.Origin{Source: resumption.Unknown, Asked: len(holders)}, map[string]time.Duration{}
 	for range holders {
 		a := <-answers
 		if a.err != nil {
@@ -247,6 +253,10 @@
 		}
 		denials[a.host] = a.reply.HeldFor
 	}
+	if 2*origin.Answered >= origin.Asked {
+		// Records could not be sent to a host that is cut off from the others.
+		denials[s.options.Name] = time.Since(s.startedAt)
+	}
 	return origin, denials
 }
 
@@ -267,8 +277,12 @@
 	return denies(ranking[1]) && (other < 0 || denies(ranking[other]))
 }
 
-// fetchHeldStreams gets the records that this host is to hold from the others, after its start.
+// fetchHeldStreams gets the records that this host is to hold from the others, after its start, if
+// there can be any.
 func (s *Source) fetchHeldStreams(ctx context.Context) {
+	if s.await(ctx, s.joined) != nil || len(s.options.History.MixedPools(time.Now())) == 0 {
+		return
+	}
 	var calls sync.WaitGroup
 	for _, p := range s.directory.regionPeers() {
 		if p.Name == s.options.Name {
--- a/jackdawd/internal/resumption/origin.go
+++ b/jackdawd/internal/resumption/origin.go
@@ -32,3 +32,9 @@
 func NewOrigin(pool, version string, source Source) Origin {
 	return Origin{Software: traffic.NewSoftware(pool, version), Source: source}
 }
+
+// InferredFrom returns the origin with the software that follows from the history of the pool.
+func (o Origin) InferredFrom(pool, version string, source Source) Origin {
+	o.Software, o.Source = traffic.NewSoftware(pool, version), source
+	return o
+}
