--- a/jackdawd/internal/relay/versions_test.go
+++ b/jackdawd/internal/relay/versions_test.go
@@ -157,6 +157,16 @@
 	}
 }
 
+// A host that resumes a stream must find it again under the ID of the attempt that began it, which its
+// caller names the next time as well.
+func TestResumedStreamKeepsItsFirstID(t *testing.T) {
+	runFixture(t, []string{"reader-1"}, func(t *testing.T, f *fixture) {
+		require.Equal(t, http.StatusOK, f.do(f.resumeRequest("r2", "4", "r1")).status)
+		_, found := f.streams.table.Find(time.Now(), resumption.NewKey("mailroom", "r1"))
+		require.True(t, found)
+	})
+}
+
 // Another workspace that names an attempt must not learn of its stream.
 func TestOtherWorkspaceResumesNothing(t *testing.T) {
 	runFixture(t, []string{"reader-1"}, func(t *testing.T, f *fixture) {
