--- a/jackdawd/internal/fleet/doc.go
+++ b/jackdawd/internal/fleet/doc.go
@@ -14,5 +14,6 @@
 //
 // Along the same tree hosts exchange the load of upstreams, failure scores of upstreams, and the
 // placement plans that the root of the region computes. Requests that crash upstreams are reported
-// in separate calls without delay and are kept in the store.
+// in separate calls without delay and are kept in the store. Which software version began a stream is
+// recorded at other hosts, found by rendezvous hashing, for callers that resume it elsewhere.
 package fleet
--- a/jackdawd/internal/fleet/sidecalls.go
+++ b/jackdawd/internal/fleet/sidecalls.go
@@ -10,8 +10,12 @@
 	"jackdawhinge/common/peers"
 )
 
-// silentHostBackoff is how long a host that did not answer a call outside of the tree is skipped.
-const silentHostBackoff = 2 * time.Second
+const (
+	// silentHostBackoff is how long a host that did not answer a call outside of the tree is skipped.
+	silentHostBackoff = 2 * time.Second
+	// streamTimeout is the timeout of a call about streams.
+	streamTimeout = 200 * time.Millisecond
+)
 
 // silentHost is a host that did not answer a call.
 type silentHost struct {
--- a/jackdawd/internal/fleet/software_history.go
+++ b/jackdawd/internal/fleet/software_history.go
@@ -117,11 +117,12 @@
 }
 
 // saveHistory stores the histories that have changed, and reports whether it could.
-func (s *Source) saveHistory(ctx context.Context) bool {
+func (s *Source) saveHistory(ctx context.Context) (ok bool) {
 	s.historyMu.Lock()
 	pools := s.unsavedHistory
 	s.unsavedHistory = map[string]bool{}
 	s.historyMu.Unlock()
+	ok = true
 	for pool := range pools {
 		if s.following.Load() != nil {
 			// The followed host, or one above it, stores them. This one does if it loses that host.
@@ -131,10 +132,19 @@
 		if err := s.putHistory(ctx, pool); err != nil {
 			logrus.WithError(err).WithField("pool", pool).Info("fleet: Storing the history of software versions failed.")
 			s.markHistoryUnsaved(pool)
-			return false
+			ok = false
 		}
 	}
-	return true
+	return ok
+}
+
+// saveHistoryAgain stores the histories of all mixed pools, which a store that was restored from an
+// older backup may lack.
+func (s *Source) saveHistoryAgain() {
+	for _, pool := range s.options.History.MixedPools(time.Now()) {
+		s.markHistoryUnsaved(pool)
+	}
+	s.historyChanged.raise()
 }
 
 func (s *Source) markHistoryUnsaved(pool string) {
--- a/jackdawd/internal/fleet/streams_test.go
+++ b/jackdawd/internal/fleet/streams_test.go
@@ -1,7 +1,11 @@
 package fleet
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -125,6 +129,48 @@
 	require.Error(t, err)
 }
 
+// fakeHistoryStore keeps histories, and fails while it is unavailable.
+type fakeHistoryStore struct {
+	histories   map[string][]byte
+	unavailable bool
+}
+
+// Put stores a history.
+func (f *fakeHistoryStore) Put(_ context.Context, pool string, history []byte) error {
+	if f.unavailable {
+		return errors.New("unavailable")
+	}
+	f.histories[pool] = history
+	return nil
+}
+
+// All returns all histories.
+func (f *fakeHistoryStore) All(context.Context) (map[string][]byte, error) { return f.histories, nil }
+
+// Histories that could not be stored, or that a restored store lacks, must be stored later, or hosts
+// that start do not learn of a version that was there a moment ago.
+func TestHistoriesAreStoredAgain(t *testing.T) {
+	store := &fakeHistoryStore{histories: map[string][]byte{}, unavailable: true}
+	s := NewSource(Options{Name: "entry-0", HistoryStore: store, Uptime: func() time.Duration { return time.Hour }})
+	upstream := func(pool, version string) *traffic.Upstream {
+		return &traffic.Upstream{Pool: pool, SoftwareVersion: version}
+	}
+	s.ObserveUpstreams(map[string][]*traffic.Upstream{
+		"reader": {upstream("reader", "v1"), upstream("reader", "v2")}, "writer": {upstream("writer", "v1"), upstream("writer", "v2")},
+		"mailbox": {upstream("mailbox", "v1")},
+	})
+	require.False(t, s.saveHistory(t.Context()))
+	store.unavailable = false
+	require.True(t, s.saveHistory(t.Context()))
+	require.ElementsMatch(t, []string{"reader", "writer"}, slices.Collect(maps.Keys(store.histories)))
+	clear(store.histories)
+	require.True(t, s.saveHistory(t.Context()))
+	require.Empty(t, store.histories, "nothing has changed")
+	s.handleRestored()
+	require.True(t, s.saveHistory(t.Context()))
+	require.Len(t, store.histories, 2)
+}
+
 // The work for each stream that begins, in a fleet of the planned size.
 func BenchmarkCopyHolders(b *testing.B) {
 	s := newStreamSource(360)
--- a/jackdawd/internal/fleet/upstreams.go
+++ b/jackdawd/internal/fleet/upstreams.go
@@ -115,6 +115,7 @@
 func (s *Source) handleRestored() {
 	logrus.Info("fleet: The store was restored from an older backup. Hosts write their entries again.")
 	s.notifyRestored()
+	s.saveHistoryAgain()
 }
 
 // receive returns a change received from the parent, and whether it contains anything. An unchanged
