--- a/jackdawd/internal/relay/admission.go
+++ b/jackdawd/internal/relay/admission.go
@@ -41,9 +41,13 @@
 
 // maxDelay returns how long the request may queue at an upstream and still start on time.
 func (j *job) maxDelay() time.Duration {
-	if j.isResumption() {
+	switch {
+	case j.headerSent:
 		// The rest of a response that the caller already reads was admitted with its start.
 		return defaultTimeout
+	case j.software != 0:
+		// A stream that its caller takes up again can go to fewer upstreams than a new one.
+		return j.route.FirstByteTarget
 	}
 	untilTarget := j.route.FirstByteTarget - j.priorWait - time.Since(j.arrived) - j.Admission.TimeToFirstByte(j.route.Name)
 	ratio := serviceMaxDelayRatio
@@ -94,8 +98,11 @@
 // wouldStartTooLate reports whether the request would queue at an upstream for more than maxDelay,
 // or follows a more urgent request that was just refused there.
 func (j *job) wouldStartTooLate(u *traffic.Upstream, maxDelay time.Duration) bool {
-	if j.isResumption() {
+	switch {
+	case j.headerSent:
 		return false
+	case j.software != 0:
+		return j.delay > maxDelay
 	}
 	return j.delay > maxDelay || j.Admission.MoreUrgentRefused(time.Now(), j.admissionRequest(), u.Instance())
 }
--- a/jackdawd/internal/relay/software.go
+++ b/jackdawd/internal/relay/software.go
@@ -34,9 +34,6 @@
 	return nil
 }
 
-// isResumption reports whether the caller already has a part of the response.
-func (j *job) isResumption() bool { return j.headerSent || j.software != 0 }
-
 // poolOf returns the pool of the route whose upstreams have a software, and the version; empty if there
 // is none.
 func (j *job) poolOf(software traffic.Software) (pool, version string) {
