--- a/common/traffic/request.go
+++ b/common/traffic/request.go
@@ -1,11 +1,15 @@
 package traffic
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// maxSharedParts bounds the parts of a prompt that are told apart, as a caller may list thousands.
+const maxSharedParts = 32
+
 // A PromptPart is one segment of a prompt, the unit in which engines cache prompts.
 type PromptPart struct {
 	ID     string
@@ -47,6 +51,21 @@
 	}
 }
 
+// SharedPartIDs returns the IDs of the parts of the prompt that other requests may share, each once and
+// in order. The last part belongs to this request or its chat alone.
+func (r *Request) SharedPartIDs() []string {
+	var ids []string
+	for _, part := range r.Prompt[:max(len(r.Prompt)-1, 0)] {
+		if !slices.Contains(ids, part.ID) {
+			ids = append(ids, part.ID)
+		}
+		if len(ids) == maxSharedParts {
+			break
+		}
+	}
+	return ids
+}
+
 // SharedTokens returns the length of the prompt prefix that other requests may share, in tokens.
 func (r *Request) SharedTokens() int {
 	tokens := 0
--- a/jackdawd/internal/relay/record.go
+++ b/jackdawd/internal/relay/record.go
@@ -100,6 +100,9 @@
 	ResumeAfter string
 	// Fingerprint is set if an upstream crashed while it ran the request or a copy of it.
 	Fingerprint quarantine.Fingerprint
+	// PromptParts are the IDs of the parts of its prompt that other requests may share; set as
+	// Fingerprint is.
+	PromptParts []string
 	Route       string
 	Kind        string
 	Workspace   string
@@ -153,7 +156,7 @@
 		Outcome: o, Status: status, Refusal: refusal, TimeToFirstByte: j.timeToFirstByte, MaxEventGap: j.maxEventGap, Duration: time.Since(j.arrived),
 	}
 	if j.suspected {
-		r.Fingerprint = j.fingerprint
+		r.Fingerprint, r.PromptParts = j.fingerprint, j.request.SharedPartIDs()
 	}
 	if j.route != nil {
 		r.Route, r.Kind = j.route.Name, string(j.route.Kind)
--- a/jackdawd/internal/requestlog/writer.go
+++ b/jackdawd/internal/requestlog/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"sync"
 	"time"
 
@@ -182,7 +183,7 @@
 		"request": r.RequestID, "route": r.Route, "workspace": r.Workspace, "status": r.Status, "tries": r.Attempts(), "took": r.Duration.String(),
 	})
 	if r.Fingerprint != 0 {
-		entry = entry.WithField("fingerprint", r.Fingerprint.String())
+		entry = entry.WithFields(logrus.Fields{"fingerprint": r.Fingerprint.String(), "parts": strings.Join(r.PromptParts, ",")})
 	}
 	switch r.Outcome {
 	case relay.Answered:
