--- /dev/null
+++ b/jackdawd/internal/relay/crashing_part_test.go
@@ -0,0 +1,122 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// crashingPart is the part of a prompt that crashes engines.
+	crashingPart = "bad"
+	// maxPartCrashes is how many engines may crash before hosts must recognize the part.
+	maxPartCrashes = 5
+)
+
+// crashOnPart makes each engine crash when it begins to write a response on a prompt with a part, and
+// restart after a while.
+func (f *fixture) crashOnPart(part string) *crashes {
+	c := &crashes{}
+	for _, u := range f.store.upstreams {
+		runner := f.runners[u.ID]
+		runner.SetBehavior(func(_ http.ResponseWriter, r *http.Request, body []byte) bool {
+			if !strings.Contains(r.Header.Get("X-Prompt-Prefix"), ","+part+":") {
+				return false
+			}
+			runner.RecordRun(r, body)
+			c.add(&c.reachedAt)
+			time.Sleep(crashDelay)
+			c.add(&c.crashedAt)
+			f.net.Kill(u.Address)
+			time.AfterFunc(downtime, func() { f.net.Serve(u.Address, runner) })
+			return true
+		})
+	}
+	return c
+}
+
+// partRequest returns a request whose prompt has a part that other requests share.
+func (f *fixture) partRequest(id, part string, events int) *http.Request {
+	req, err := testCaller.Stream(f.t.Context(), "/digest/"+id, id, part, events)
+	require.NoError(f.t, err)
+	return req
+}
+
+// A soundRequest is when a sound request was sent, and whether it was served at the first attempt.
+type soundRequest struct {
+	sentAt time.Time
+	served bool
+}
+
+// soundRequests sends sound requests beside others and keeps their results.
+type soundRequests struct {
+	mu      sync.Mutex
+	results []soundRequest
+	callers sync.WaitGroup
+}
+
+// send sends a request whose prompt has a part, without waiting for its response.
+func (s *soundRequests) send(f *fixture, id, part string, events int) {
+	s.callers.Go(func() {
+		sentAt := time.Now()
+		response := f.do(f.partRequest(id, part, events))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.results = append(s.results, soundRequest{sentAt, response.err == nil && response.status == http.StatusOK})
+	})
+}
+
+// sentAfter returns the results of the requests that were sent after a time, and how many of them were
+// served.
+func (s *soundRequests) sentAfter(t time.Time) (later []soundRequest, served int) {
+	later = slices.DeleteFunc(slices.Clone(s.results), func(r soundRequest) bool { return !r.sentAt.After(t) })
+	for _, r := range later {
+		if r.served {
+			served++
+		}
+	}
+	return later, served
+}
+
+// Guards against requests with one part in common, no two alike, that crash one engine after the
+// other, and against sound requests that are refused because they share their caller or other parts.
+func TestCrashingPromptPartIsQuarantined(t *testing.T) {
+	runners := []string{"reader-1", "reader-2", "reader-3", "reader-4", "reader-5", "reader-6", "reader-7", "reader-8"}
+	runFixture(t, runners, func(t *testing.T, f *fixture) {
+		c := f.crashOnPart(crashingPart)
+		var sound soundRequests
+		for n := range 60 {
+			sound.send(f, fmt.Sprintf("popular-%d", n), "popular", 60)
+			sound.send(f, fmt.Sprintf("frequent-%d", n), fmt.Sprintf("frequent-%d", n%5), 20)
+			sound.send(f, fmt.Sprintf("rare-%d", n), fmt.Sprintf("rare-%d", n%20), 4)
+			f.do(f.partRequest(fmt.Sprintf("crashing-%d", n), crashingPart, 4))
+			time.Sleep(400 * time.Millisecond)
+		}
+		sound.callers.Wait()
+		c.requireFewRepeats(t)
+		require.GreaterOrEqual(t, len(c.crashedAt), 3)
+		settled := c.crashedAt[min(len(c.crashedAt), maxPartCrashes)-1].Add(2 * detectionTimeout)
+		later, served := sound.sentAfter(settled)
+		require.Equal(t, len(later), served, "sound requests")
+		time.Sleep(2 * downtime)
+	})
+}
+
+// requireFewRepeats fails if requests with the part still reached engines after hosts had to recognize
+// it.
+func (c *crashes) requireFewRepeats(t *testing.T) {
+	t.Helper()
+	if len(c.crashedAt) < maxPartCrashes {
+		return
+	}
+	late := slices.DeleteFunc(slices.Clone(c.reachedAt), func(at time.Time) bool {
+		return !at.After(c.crashedAt[maxPartCrashes-1].Add(detectionTimeout))
+	})
+	require.LessOrEqual(t, len(late), maxRepeats, "%d engines crashed", len(c.crashedAt))
+}
