--- a/common/report/report.go
+++ b/common/report/report.go
@@ -74,11 +74,15 @@
 	Record        int64            `json:"record"`
 }
 
-// A QuarantinedRequest is a quarantined request, with the time left until it is admitted again.
+// A QuarantinedRequest is what quarantined requests have in common, with the time left until it is admitted again.
 type QuarantinedRequest struct {
-	Fingerprint string           `json:"fingerprint"`
-	Crashes     int              `json:"crashes"`
-	Remaining   targets.Duration `json:"left"`
+	Fingerprint string `json:"fingerprint"`
+	// Part is the part of the prompt that the refused requests have in common; empty for copies of
+	// one request. Workspace is whose requests with the part are refused; empty for all.
+	Part      string           `json:"part,omitempty"`
+	Workspace string           `json:"workspace,omitempty"`
+	Crashes   int              `json:"crashes"`
+	Remaining targets.Duration `json:"left"`
 }
 
 // Sort sorts the classes by name, the upstreams by model and name, the quarantined requests by
--- a/jackdaw/internal/cmd/statuscmd.go
+++ b/jackdaw/internal/cmd/statuscmd.go
@@ -160,13 +160,25 @@
 
 func printQuarantined(out io.Writer, requests []report.QuarantinedRequest) error {
 	for _, r := range requests {
-		if _, err := fmt.Fprintf(out, "request %s is refused for %s: %d upstreams crashed under it\n", r.Fingerprint, time.Duration(r.Remaining), r.Crashes); err != nil {
+		if _, err := fmt.Fprintf(out, "%s is refused for %s: %d upstreams crashed under it\n", quarantinedName(r), time.Duration(r.Remaining), r.Crashes); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// quarantinedName names what quarantined requests have in common.
+func quarantinedName(r report.QuarantinedRequest) string {
+	switch {
+	case r.Part == "":
+		return "request " + r.Fingerprint
+	case r.Workspace == "":
+		return fmt.Sprintf("part %s of prompts (%s)", r.Part, r.Fingerprint)
+	default:
+		return fmt.Sprintf("part %s of prompts of workspace %s (%s)", r.Part, r.Workspace, r.Fingerprint)
+	}
+}
+
 // query sends a query to the admin interface of the host in the settings and decodes the JSON
 // response into result.
 func (g *globalFlags) query(ctx context.Context, path string, params url.Values, result any) error {
--- a/jackdawd/internal/entry/admin.go
+++ b/jackdawd/internal/entry/admin.go
@@ -71,7 +71,7 @@
 	var requests []report.QuarantinedRequest
 	for _, r := range h.quarantine.AllQuarantined(now) {
 		left, _ := h.quarantine.Quarantined(now, r.Request)
-		requests = append(requests, report.QuarantinedRequest{Fingerprint: r.Request.String(), Crashes: len(r.Crashes), Remaining: targets.Duration(left.Round(time.Second))})
+		requests = append(requests, report.QuarantinedRequest{Fingerprint: r.Request.String(), Part: r.Part, Workspace: r.Workspace, Crashes: len(r.Crashes), Remaining: targets.Duration(left.Round(time.Second))})
 	}
 	return requests
 }
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -176,7 +176,7 @@
 	h.budgets = relay.NewRetryBudgets(o.Bounds.RetryRatio, o.Bounds.RetryWindow)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Membership: h.tracker, Client: h.client, Loads: h.loads, Balancer: h.balancer, CacheLocations: placement.NewCacheLocations(), RequestStats: placement.NewRequestStats(),
-		RetryBudgets: h.budgets, Admission: admission.NewController(), Quarantine: h.quarantine, Backoffs: relay.NewBackoffs(), ColdLimiter: h.coldLimiter, Brittleness: placement.NewBrittleness(), SlotLeases: h.source, Streams: h.source, Recorder: requestlog.NewWriter(o.RoutineLogger, o.AnomalyLogger, o.Meter),
+		RetryBudgets: h.budgets, Admission: admission.NewController(), Quarantine: h.quarantine, Backoffs: relay.NewBackoffs(), ColdLimiter: h.coldLimiter, Brittleness: placement.NewBrittleness(), SlotLeases: h.source, Probes: h.source, Streams: h.source, Recorder: requestlog.NewWriter(o.RoutineLogger, o.AnomalyLogger, o.Meter),
 		FailureDomain: o.FailureDomain, InSameRegion: o.InSameRegion, MaxTotalBodyBytes: o.MaxTotalBodyBytes, LoadMultiple: h.loadMultiple, HostCount: h.hostCount, SchedulingDelay: o.SchedulingDelay, IsUnreached: func(address string) bool { return h.paths.IsUnreached(time.Now(), address) },
 	})
 	h.registerGauges(o.Meter)
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -23,6 +23,7 @@
 	reportCall      = serviceName + ".Report"
 	casesCall       = serviceName + ".Cases"
 	slotCall        = serviceName + ".Slot"
+	probeCall       = serviceName + ".Probe"
 	streamsCall     = serviceName + ".Streams"
 	streamCall      = serviceName + ".Stream"
 	heldStreamsCall = serviceName + ".HeldStreams"
--- a/jackdawd/internal/fleet/quarantine.go
+++ b/jackdawd/internal/fleet/quarantine.go
@@ -42,11 +42,14 @@
 	Since(now time.Time, p quarantine.Position, minCrashes int) ([]quarantine.Record, quarantine.Position)
 	// HasChanges reports whether there are such records.
 	HasChanges(p quarantine.Position, minCrashes int) bool
-	// RecordResponse records that a request was answered and so does not crash upstreams.
-	RecordResponse(now time.Time, f quarantine.Fingerprint)
-	// Quarantined reports whether a request is quarantined, and for how much longer.
-	Quarantined(now time.Time, f quarantine.Fingerprint) (time.Duration, bool)
-	// AllQuarantined returns the quarantined requests.
+	// Release ends the quarantine of a subject.
+	Release(now time.Time, f quarantine.Fingerprint)
+	// IsCause reports whether enough crashes are attributed to a subject.
+	IsCause(now time.Time, f quarantine.Fingerprint) bool
+	// ProbeDue reports whether a request of a quarantined subject may be tried, and how long it is
+	// until the next one if this one has no result.
+	ProbeDue(now time.Time, f quarantine.Fingerprint) (delay time.Duration, due bool)
+	// AllQuarantined returns the quarantined subjects.
 	AllQuarantined(now time.Time) []quarantine.Record
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
--- a/jackdawd/internal/fleet/quarantine_notices.go
+++ b/jackdawd/internal/fleet/quarantine_notices.go
@@ -164,7 +164,8 @@
 }
 
 // mergeNotices applies notices read from the store. It removes expired ones there, and those of
-// requests that were released or answered while another host wrote their notices.
+// requests that were released or answered while another host wrote their notices, or whose crashes
+// have another cause.
 func (s *Source) mergeNotices(ctx context.Context, notices map[string]traffic.StoredRecord) {
 	now := time.Now()
 	var records []quarantine.Record
@@ -184,7 +185,7 @@
 	}
 	s.options.Quarantine.Merge(now, records)
 	for _, r := range records {
-		if _, quarantined := s.options.Quarantine.Quarantined(now, r.Request); !quarantined {
+		if !s.options.Quarantine.IsCause(now, r.Request) {
 			s.removeNotice(ctx, r.Request.String())
 		}
 	}
@@ -233,7 +234,7 @@
 		logrus.WithError(err).Warn("fleet: Skipped an invalid notice of a quarantined request.")
 		return
 	}
-	s.options.Quarantine.RecordResponse(now, f)
+	s.options.Quarantine.Release(now, f)
 }
 
 // putNotice writes the notice of a request and reports whether that succeeded. It writes only if
--- a/jackdawd/internal/fleet/slots.go
+++ b/jackdawd/internal/fleet/slots.go
@@ -73,17 +73,17 @@
 
 var errNoSlotOwner = errors.New("no host owns the upstream's slots")
 
-// slotOwner returns the host that counts the slots of an upstream: the first known one in the
-// upstream's rendezvous order that answers.
-func (s *Source) slotOwner(now time.Time, u *traffic.Upstream) (Peer, bool) {
+// ownerOf returns the host that decides for all about what has a hash: the first known one in its
+// rendezvous order that answers a call.
+func (s *Source) ownerOf(now time.Time, hash uint64, call string) (Peer, bool) {
 	names := slices.DeleteFunc(slices.Clone(s.directory.KnownNames()), func(name string) bool {
-		return s.sideCalls.isSkipped(now, name, slotCall)
+		return s.sideCalls.isSkipped(now, name, call)
 	})
 	if len(names) == 0 {
 		return Peer{}, false
 	}
 	name := slices.MaxFunc(names, func(a, b string) int {
-		return cmp.Compare(routing.RendezvousScore(u.Hash, routing.NameHash(a)), routing.RendezvousScore(u.Hash, routing.NameHash(b)))
+		return cmp.Compare(routing.RendezvousScore(hash, routing.NameHash(a)), routing.RendezvousScore(hash, routing.NameHash(b)))
 	})
 	return Peer{Name: name, Registration: s.directory.All()[name]}, true
 }
@@ -91,7 +91,7 @@
 // AcquireSlot asks the owner of a brittle upstream for one of its slots. If it is granted, release
 // must be called. It returns an error if no owner answers.
 func (s *Source) AcquireSlot(u *traffic.Upstream, ttl time.Duration) (release func(), granted bool, err error) {
-	owner, ok := s.slotOwner(time.Now(), u)
+	owner, ok := s.ownerOf(time.Now(), u.Hash, slotCall)
 	if !ok {
 		return nil, false, errNoSlotOwner
 	}
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -18,6 +18,7 @@
 	"jackdawhinge/common/peers"
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/membership"
+	"jackdawhinge/jackdawd/internal/quarantine"
 	"jackdawhinge/jackdawd/internal/resumption"
 )
 
@@ -110,9 +111,10 @@
 	// quarantinePeer.
 	quarantineClient *peers.Client
 	quarantinePeer   Peer
-	// slots holds the slots of brittle upstreams that this host owns, streams which software began
-	// which stream.
+	// slots holds the slots of brittle upstreams that this host owns, probes the probes of quarantined
+	// subjects that it has granted, and streams which software began which stream.
 	slots     slotTable
+	probes    probeTable
 	streams   *resumption.Table
 	sideCalls sideCalls
 	startedAt time.Time
@@ -222,6 +224,7 @@
 		changes:        make(chan upstreamUpdate, maxQueuedChanges), parentLeft: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1), refreshed: newSignal(), planUpdated: newSignal(), storeRecovered: newSignal(),
 	}
 	s.slots.expiry = map[uint32]map[uint64]time.Time{}
+	s.probes.grantedUntil, s.probes.askedUntil = map[quarantine.Fingerprint]time.Time{}, map[quarantine.Fingerprint]time.Time{}
 	s.sideCalls.clients, s.sideCalls.skippedUntil = map[Peer]*peers.Client{}, map[silentHost]time.Time{}
 	s.knownNotices.positions = map[string]traffic.LogPosition{}
 	s.listGuard.asOf, s.pendingListTime = unknownTime, unknownTime
--- a/jackdawd/internal/quarantine/fingerprint.go
+++ b/jackdawd/internal/quarantine/fingerprint.go
@@ -7,8 +7,8 @@
 	"strconv"
 )
 
-// A Fingerprint identifies the content of a request; copies of a request have the same one. It is
-// the first 64 bits of a cryptographic hash, so that no caller can craft requests that crash
+// A Fingerprint identifies what requests have in common: the same content, or a part of the prompt. It
+// is the first 64 bits of a cryptographic hash, so that no caller can craft requests that crash
 // upstreams and have the fingerprint of another caller's request, which would then be refused.
 type Fingerprint uint64
 
@@ -24,15 +24,23 @@
 
 // Fingerprint returns the fingerprint of the content.
 func (c Content) Fingerprint() Fingerprint {
+	return hashWithBody(c.Body, c.Workspace, c.Method, c.Host, c.Target)
+}
+
+// hash returns the fingerprint of texts.
+func hash(texts ...string) Fingerprint { return hashWithBody(nil, texts...) }
+
+// hashWithBody returns the fingerprint of texts followed by a body.
+func hashWithBody(body []byte, texts ...string) Fingerprint {
 	d := sha256.New()
-	for _, text := range []string{c.Workspace, c.Method, c.Host, c.Target} {
+	for _, text := range texts {
 		var length [8]byte
 		binary.LittleEndian.PutUint64(length[:], uint64(len(text)))
 		// Writing to a hash never fails.
 		_, _ = d.Write(length[:])
 		_, _ = d.Write([]byte(text))
 	}
-	_, _ = d.Write(c.Body)
+	_, _ = d.Write(body)
 	return Fingerprint(binary.BigEndian.Uint64(d.Sum(nil)))
 }
 
--- a/jackdawd/internal/quarantine/registry.go
+++ b/jackdawd/internal/quarantine/registry.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// maxSuspects bounds the suspects in memory, to about a megabyte. When more requests have met a
+	// maxSuspects bounds the suspects in memory, to about a megabyte. When more subjects have met a
 	// crash within suspectTTL, one in evictionDivisor is evicted at once, those with the fewest
 	// crashes first.
 	maxSuspects     = 4096
@@ -34,16 +34,31 @@
 	Next int64
 }
 
-// A Registry holds the requests during which upstreams crashed. It is safe for concurrent use.
+// A Match is the subject because of which a request is refused.
+type Match struct {
+	Subject Subject
+	// Crashes is how many upstreams crashed during requests of the subject, as far as is known.
+	Crashes int
+	// Remaining is how much longer such requests are refused.
+	Remaining time.Duration
+	// NextProbe is how long it takes until one of them may be tried.
+	NextProbe time.Duration
+}
+
+// A Registry holds the subjects of requests during which upstreams crashed. It is safe for concurrent
+// use.
 type Registry struct {
 	// count is the number of suspects; while there are none, requests need no lock.
 	count   atomic.Int64
 	mu      sync.Mutex
 	epoch   uint64
 	version int64
-	// suspects are the requests during which upstreams crashed, by fingerprint.
+	// suspects are the subjects of requests during which upstreams crashed, by fingerprint.
 	suspects map[Fingerprint]*suspect
-	changed  chan struct{}
+	// causes are the suspects to which enough crashes are attributed.
+	causes  []*suspect
+	answers recentAnswers
+	changed chan struct{}
 	// lastExpiry is when expired suspects were last deleted.
 	lastExpiry time.Time
 }
@@ -56,34 +71,70 @@
 // Empty reports whether there are no suspects.
 func (r *Registry) Empty() bool { return r.count.Load() == 0 }
 
-// Quarantined reports whether a request is quarantined, and for how much longer.
+// Quarantined reports whether requests of a subject are refused, and for how much longer.
 func (r *Registry) Quarantined(now time.Time, f Fingerprint) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, ok := r.suspects[f]
-	if !ok || !s.quarantined() {
+	if !ok || !s.quarantined(now) {
 		return 0, false
 	}
-	left := s.expiresAt().Sub(now)
-	return left, left > 0
+	return s.expiresAt().Sub(now), true
+}
+
+// IsCause reports whether enough crashes are attributed to a subject, be its quarantine confirmed or not.
+func (r *Registry) IsCause(now time.Time, f Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.suspects[f]
+	return ok && s.isCause() && now.Before(s.expiresAt())
+}
+
+// Find returns the first of a request's subjects that is quarantined, and false if none is.
+func (r *Registry) Find(now time.Time, subjects []Subject) (Match, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, subject := range subjects {
+		if s, ok := r.suspects[subject.Fingerprint]; ok && s.quarantined(now) {
+			return Match{Subject: subject, Crashes: len(s.crashes), Remaining: s.expiresAt().Sub(now), NextProbe: max(s.probeAt().Sub(now), 0)}, true
+		}
+	}
+	return Match{}, false
 }
 
-// RecordCrash records that an upstream, identified by the short hash of its instance, crashed after
-// it had had the request for ran.
-func (r *Registry) RecordCrash(now time.Time, f Fingerprint, instance uint32, ran time.Duration) {
-	r.Merge(now, []Record{{Request: f, Crashes: []CrashRecord{{Start: instance, Ran: ran}}}})
+// RecordCrash records that an upstream crashed while it had a request with the given subjects.
+func (r *Registry) RecordCrash(now time.Time, subjects []Subject, c CrashRecord) {
+	records := make([]Record, len(subjects))
+	for i, s := range subjects {
+		records[i] = Record{Request: s.Fingerprint, Kind: s.Kind, Part: s.Part, Workspace: s.Workspace, Depth: s.Depth, Crashes: []CrashRecord{c}}
+	}
+	r.Merge(now, records)
 }
 
-// RecordResponse records that an upstream ran a request and responded.
-func (r *Registry) RecordResponse(now time.Time, f Fingerprint) {
+// RecordResponse records that an upstream ran a request with the given subjects and lived on.
+func (r *Registry) RecordResponse(now time.Time, subjects []Subject) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s, ok := r.suspects[f]; ok && s.addResponse(now) {
-		r.markChanged(s)
+	cleared := false
+	for _, subject := range subjects {
+		r.answers.put(now, subject.Fingerprint)
+		s, ok := r.suspects[subject.Fingerprint]
+		if ok && s.addResponse(now) {
+			r.markChanged(s)
+			cleared = true
+		}
+	}
+	if cleared {
+		r.attribute(now)
 		r.notify()
 	}
 }
 
+// Release ends the quarantine of a subject.
+func (r *Registry) Release(now time.Time, f Fingerprint) {
+	r.RecordResponse(now, []Subject{{Fingerprint: f}})
+}
+
 // Merge merges the records of another host.
 func (r *Registry) Merge(now time.Time, records []Record) {
 	if len(records) == 0 {
@@ -98,6 +149,7 @@
 	}
 	r.count.Store(int64(len(r.suspects)))
 	if changed {
+		r.attribute(now)
 		r.notify()
 	}
 }
@@ -106,10 +158,12 @@
 func (r *Registry) mergeRecord(now time.Time, record Record) bool {
 	s, known := r.suspects[record.Request]
 	if !known {
-		s = &suspect{}
+		s = &suspect{subject: record.Subject()}
 	}
-	before := s.quarantined()
-	if !s.merge(now, record) || len(s.crashes) == 0 && !known || now.After(s.expiresAt()) {
+	if at, ok := r.answers.last(record.Request); ok {
+		s.addResponse(at)
+	}
+	if !s.merge(now, record) || now.After(s.lastEvent().Add(s.maxTTL())) {
 		return false
 	}
 	if !known {
@@ -117,13 +171,37 @@
 		r.suspects[record.Request] = s
 	}
 	r.markChanged(s)
-	if !before && s.quarantined() {
-		logrus.WithFields(logrus.Fields{"fingerprint": record.Request.String(), "crashes": len(s.crashes), "for": s.expiresAt().Sub(now).String()}).
-			Warn("quarantine: Request quarantined because upstreams crashed while they ran it.")
-	}
 	return true
 }
 
+// attribute finds the causes of the crashes anew; the lock must be held.
+func (r *Registry) attribute(now time.Time) {
+	before := r.causes
+	r.causes = attribute(r.suspects)
+	for _, s := range r.causes {
+		if !slices.Contains(before, s) {
+			logrus.WithFields(s.fields()).WithField("for", s.expiresAt().Sub(now).String()).Warn("quarantine: Request quarantined because upstreams crashed while they ran it.")
+		}
+	}
+	for _, s := range before {
+		if !slices.Contains(r.causes, s) {
+			logrus.WithFields(s.fields()).Info("quarantine: Quarantine ended, as an upstream ran such a request or another cause was found.")
+		}
+	}
+}
+
+// fields returns the log fields that describe a suspect.
+func (s *suspect) fields() logrus.Fields {
+	fields := logrus.Fields{"fingerprint": s.subject.Fingerprint.String(), "kind": cmp.Or(s.subject.Kind, WholeRequest), "crashes": len(s.crashes)}
+	if s.subject.Part != "" {
+		fields["part"] = s.subject.Part
+	}
+	if s.subject.Workspace != "" {
+		fields["workspace"] = s.subject.Workspace
+	}
+	return fields
+}
+
 // markChanged gives a suspect the registry's next version; the lock must be held.
 func (r *Registry) markChanged(s *suspect) {
 	r.version++
@@ -158,14 +236,14 @@
 	if len(r.suspects) < maxSuspects {
 		return
 	}
-	order := func(a, b Fingerprint) int { return r.suspects[a].compare(r.suspects[b]) }
+	order := func(a, b Fingerprint) int { return r.suspects[a].compareForEviction(r.suspects[b]) }
 	for _, f := range slices.SortedFunc(maps.Keys(r.suspects), order)[:maxSuspects/evictionDivisor] {
 		delete(r.suspects, f)
 	}
 }
 
-// compare orders suspects by their number of crashes, and then by the time of the last event.
-func (s *suspect) compare(other *suspect) int {
+// compareForEviction orders suspects by their number of crashes, and then by the time of the last event.
+func (s *suspect) compareForEviction(other *suspect) int {
 	return cmp.Or(cmp.Compare(len(s.crashes), len(other.crashes)), s.lastEvent().Compare(other.lastEvent()))
 }
 
@@ -214,19 +292,19 @@
 	}
 	var records []Record
 	for _, f := range append(multiple, single...) {
-		records = append(records, r.suspects[f].record(now, f))
+		records = append(records, r.suspects[f].record(now))
 	}
 	return records, end
 }
 
-// AllQuarantined returns the records of the requests that are quarantined now.
+// AllQuarantined returns the records of the subjects that are quarantined now.
 func (r *Registry) AllQuarantined(now time.Time) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var quarantined []Record
-	for f, s := range r.suspects {
-		if s.quarantined() && now.Before(s.expiresAt()) {
-			quarantined = append(quarantined, s.record(now, f))
+	for _, s := range r.suspects {
+		if s.quarantined(now) {
+			quarantined = append(quarantined, s.record(now))
 		}
 	}
 	return quarantined
@@ -234,10 +312,11 @@
 
 // Counts returns the number of suspects and how many of them are quarantined.
 func (r *Registry) Counts() (suspects, quarantined int) {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.suspects {
-		if s.quarantined() {
+		if s.quarantined(now) {
 			quarantined++
 		}
 	}
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -57,6 +57,7 @@
 	j.attempted, j.current = append(j.attempted, u.Instance()), u
 	now := time.Now()
 	j.attemptStartedAt, j.connectTime, j.through, j.sent = now, 0, "", nil
+	j.firstEventAt, j.clearedParts = time.Time{}, false
 	own := j.Loads.Begin(now, u)
 	j.RequestStats.RecordStart(now, j.pool.Name)
 	if j.cacheable {
@@ -81,6 +82,9 @@
 		return result{verdict: unsent, err: errNoRoomAtBrittle}
 	}
 	defer release()
+	if _, quarantined := j.findQuarantined(); quarantined && !j.probing {
+		return result{verdict: unsent, err: errQuarantined}
+	}
 	j.watchdog = j.startWatchdog(ctx, u)
 	defer j.watchdog.stop()
 	req := j.upstreamRequest(u)
@@ -239,6 +243,8 @@
 	errNotStream = errors.New("no stream where one should go on")
 	// errNoRoomAtBrittle is the error of a request for which a brittle upstream has no room.
 	errNoRoomAtBrittle = errors.New("the brittle upstream has no room")
+	// errQuarantined is the error of a request that was quarantined while it waited to be sent.
+	errQuarantined = errors.New("upstreams have crashed under requests like this one")
 )
 
 // writeBuffered writes a buffered response to the caller.
--- a/jackdawd/internal/relay/crashing_part_test.go
+++ b/jackdawd/internal/relay/crashing_part_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/jackdawd/internal/quarantine"
+	"jackdawhinge/platform/standin"
 )
 
 const (
@@ -120,3 +123,50 @@
 	})
 	require.LessOrEqual(t, len(late), maxRepeats, "%d engines crashed", len(c.crashedAt))
 }
+
+// Guards against a part that is refused to the end although engines bear it again.
+func TestProbeEndsQuarantineOfPart(t *testing.T) {
+	runners := []string{"reader-1", "reader-2", "reader-3", "reader-4", "reader-5", "reader-6", "reader-7", "reader-8"}
+	runFixture(t, runners, func(t *testing.T, f *fixture) {
+		f.crashOnPart(crashingPart)
+		for n := range 10 {
+			f.do(f.partRequest(fmt.Sprintf("crashing-%d", n), crashingPart, 4))
+			time.Sleep(400 * time.Millisecond)
+		}
+		refused := f.do(f.partRequest("refused", crashingPart, 4))
+		require.Equal(t, http.StatusServiceUnavailable, refused.status)
+		require.Contains(t, refused.body, "with part "+crashingPart)
+		require.Zero(t, f.runCount("refused"))
+		time.Sleep(2 * downtime)
+		f.probes.left = 1
+		require.Equal(t, http.StatusBadGateway, f.do(f.partRequest("probe", crashingPart, 4)).status)
+		require.Equal(t, 1, f.runCount("probe"), "a probe is not retried")
+		time.Sleep(2 * downtime)
+		f.setBehaviors(func(*standin.Runner) standin.Behavior { return nil })
+		f.probes.left = 1
+		require.Equal(t, http.StatusOK, f.do(f.partRequest("probe-2", crashingPart, 4)).status)
+		require.Equal(t, http.StatusOK, f.do(f.partRequest("after", crashingPart, 4)).status)
+	})
+}
+
+// Guards against a request that reaches an engine because it was waiting for a connection when its part
+// was quarantined.
+func TestWaitingRequestIsQuarantined(t *testing.T) {
+	runFixture(t, []string{"reader-1", "reader-2", "reader-3"}, func(t *testing.T, f *fixture) {
+		for _, runner := range f.runners {
+			runner.SetBrittle(1)
+		}
+		f.do(f.partRequest("first", "frequent", 4))
+		waiting := f.partRequest("waiting", crashingPart, 4)
+		f.leases.free, f.leases.wait = 10, 2*time.Second
+		done := make(chan callerResponse)
+		go func() { done <- f.do(waiting) }()
+		time.Sleep(time.Second)
+		subjects := quarantine.PartSubjects("mailroom", []string{crashingPart})
+		for n := range uint32(4) {
+			f.handler.Quarantine.RecordCrash(time.Now(), subjects, quarantine.CrashRecord{Start: n, Age: time.Duration(n) * time.Second, Ran: time.Second})
+		}
+		require.Equal(t, http.StatusServiceUnavailable, (<-done).status)
+		require.Zero(t, f.runCount("waiting"))
+	})
+}
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -112,6 +112,7 @@
 	ColdLimiter    *placement.ColdLimiter
 	Brittleness    *placement.Brittleness
 	SlotLeases     SlotLeases
+	Probes         Probes
 	Streams        Streams
 	Recorder       Recorder
 	FailureDomain  string
@@ -223,7 +224,10 @@
 	if refusal := j.readBody(configuration.Limits().BodyBytes); refusal != nil {
 		return refusal
 	}
-	return j.checkQuarantine()
+	if refusal := j.checkQuarantine(); refusal == nil || !j.startProbe() {
+		return refusal
+	}
+	return nil
 }
 
 // findRoute sets the route that the request's host and path match.
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -32,10 +32,18 @@
 	route      *traffic.Route
 	workspace  traffic.Workspace
 	body       []byte
-	// fingerprint is the same for all copies of the request; 0 until it is needed.
-	fingerprint quarantine.Fingerprint
-	// suspected is set if an upstream crashed while it ran this request or a copy of it.
-	suspected bool
+	// subjects are what the request has in common with others that may crash upstreams, its copies
+	// first; nil until they are needed.
+	subjects []quarantine.Subject
+	// suspect is the fingerprint of the subject because of which the request is refused, or of the
+	// request's copies if an upstream crashed while it ran it; else 0.
+	suspect quarantine.Fingerprint
+	// probing is set if the request is sent to an upstream although it is quarantined.
+	probing bool
+	// firstEventAt is when the latest attempt brought its first event; zero before it. clearedParts is
+	// set once the attempt has lasted long enough to clear the parts of the prompt.
+	firstEventAt time.Time
+	clearedParts bool
 	// reservedBytes is the part of Handler.bodyBytes that is reserved for the body.
 	reservedBytes int64
 
@@ -201,7 +209,7 @@
 // retryDenial returns the reason why the request may not be retried, or "" if it may. It takes a
 // retry from the budget where one is needed.
 func (j *job) retryDenial(r result) string {
-	_, quarantined := j.quarantined()
+	_, quarantined := j.findQuarantined()
 	safe := r.verdict == rejected || r.verdict == replaced || j.route.Repeatable()
 	switch {
 	case quarantined:
--- a/jackdawd/internal/relay/quarantine.go
+++ b/jackdawd/internal/relay/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -14,61 +15,115 @@
 // reasonQuarantined is the reason if a request is not retried because it crashes upstreams.
 const reasonQuarantined = "crashes-upstreams"
 
-// A Quarantine holds the requests that crash upstreams.
+// lastingStreamTime is how long a stream must last for its parts to be cleared: a part that crashes upstreams
+// does so as soon as they begin to write a response.
+const lastingStreamTime = 500 * time.Millisecond
+
+// A Quarantine holds what requests that crash upstreams have in common.
 type Quarantine interface {
 	// Empty reports whether no upstream has crashed recently.
 	Empty() bool
-	// Quarantined reports whether a request is quarantined, and for how much longer.
-	Quarantined(now time.Time, f quarantine.Fingerprint) (time.Duration, bool)
-	// RecordCrash records that an upstream crashed after it had run a request for a time. The
-	// upstream is identified by its ShortHash.
-	RecordCrash(now time.Time, f quarantine.Fingerprint, upstream uint32, ran time.Duration)
-	// RecordResponse records that an upstream executed a request and answered.
-	RecordResponse(now time.Time, f quarantine.Fingerprint)
+	// Find returns the first of a request's subjects that is quarantined, and false if none is.
+	Find(now time.Time, subjects []quarantine.Subject) (quarantine.Match, bool)
+	// RecordCrash records that an upstream crashed while it had a request with the given subjects.
+	RecordCrash(now time.Time, subjects []quarantine.Subject, c quarantine.CrashRecord)
+	// RecordResponse records that an upstream ran a request with the given subjects and lived on.
+	RecordResponse(now time.Time, subjects []quarantine.Subject)
+}
+
+// Probes grant probes of quarantined subjects to the hosts of the fleet.
+type Probes interface {
+	// AcquireProbe reports whether a request of a quarantined subject may be tried.
+	AcquireProbe(f quarantine.Fingerprint) bool
 }
 
-// setFingerprint computes the fingerprint of the request. The copies that a caller sends have
-// different request IDs; only the fingerprint shows that upstreams crash on copies of one request.
-func (j *job) setFingerprint() {
-	if j.fingerprint != 0 {
+// setSubjects computes what the request has in common with others. The copies that a caller sends have
+// different request IDs, and other requests that crash upstreams may share only a part of their
+// prompts.
+func (j *job) setSubjects() {
+	if j.subjects != nil {
 		return
 	}
-	j.fingerprint = quarantine.Content{
+	content := quarantine.Content{
 		Workspace: j.workspace.Name, Method: j.r.Method, Host: j.r.Host, Target: requestTarget(j.r), Body: j.body,
-	}.Fingerprint()
+	}
+	j.subjects = append([]quarantine.Subject{quarantine.RequestSubject(content)}, j.partSubjects()...)
 }
 
-// quarantined reports whether the request is quarantined, and for how much longer.
-func (j *job) quarantined() (time.Duration, bool) {
+// partSubjects returns the subjects of the parts of the prompt that other requests may share.
+func (j *job) partSubjects() []quarantine.Subject {
+	return quarantine.PartSubjects(j.workspace.Name, j.request.SharedPartIDs())
+}
+
+// findQuarantined returns the subject of the request that is quarantined, if any is.
+func (j *job) findQuarantined() (quarantine.Match, bool) {
 	if j.Quarantine.Empty() {
-		return 0, false
+		return quarantine.Match{}, false
 	}
-	j.setFingerprint()
-	return j.Quarantine.Quarantined(time.Now(), j.fingerprint)
+	j.setSubjects()
+	return j.Quarantine.Find(time.Now(), j.subjects)
 }
 
-// checkQuarantine refuses a request that crashes each upstream that runs it. A caller that keeps
-// sending it would otherwise crash one engine after the other, along with all other requests there.
+// checkQuarantine refuses a request if upstreams crash whenever they run one like it. Callers that keep
+// sending them would otherwise crash one engine after the other, along with all other requests there.
 func (j *job) checkQuarantine() *work.Refusal {
-	remaining, quarantined := j.quarantined()
+	match, quarantined := j.findQuarantined()
 	if !quarantined {
 		return nil
 	}
-	j.suspected = true
-	return work.NewRefusal(http.StatusServiceUnavailable, work.Quarantined, "upstreams have crashed under copies of this request").WithRetryAfter(remaining)
+	j.suspect = match.Subject.Fingerprint
+	reason := "upstreams have crashed under copies of this request"
+	if match.Subject.Part != "" {
+		reason = fmt.Sprintf("upstreams have crashed under requests with part %s of the prompt", match.Subject.Part)
+	}
+	// A probe may end the quarantine long before it expires.
+	retryAfter := max(min(match.Remaining, match.NextProbe), retryAfterUnavailable)
+	return work.NewRefusal(http.StatusServiceUnavailable, work.Quarantined, "%s", reason).WithRetryAfter(retryAfter)
+}
+
+// startProbe reports whether the quarantined request is sent to an upstream all the same. Without a probe
+// now and then, what was quarantined by mistake would never get the response that clears it.
+func (j *job) startProbe() bool {
+	j.probing = j.Probes.AcquireProbe(j.suspect)
+	return j.probing
 }
 
 // reportToQuarantine reports the result of an attempt to the quarantine: an upstream that
 // crashes counts against the request, one that answers counts in its favor.
 func (j *job) reportToQuarantine(u *traffic.Upstream, r result) {
+	j.setSubjects()
+	now := time.Now()
 	switch {
 	case r.verdict == broken && (exchange.ClosedByPeer(r.err) || errors.Is(r.err, errTruncatedEvent)):
-		j.setFingerprint()
-		j.suspected = true
-		now := time.Now()
-		j.Quarantine.RecordCrash(now, j.fingerprint, u.ShortHash(), now.Sub(j.attemptStartedAt))
-	case (r.verdict == answered || r.verdict == failed) && !j.Quarantine.Empty():
-		j.setFingerprint()
-		j.Quarantine.RecordResponse(time.Now(), j.fingerprint)
+		j.suspect = j.subjects[0].Fingerprint
+		j.Quarantine.RecordCrash(now, j.crashSubjects(now), quarantine.CrashRecord{Start: u.ShortHash(), Ran: now.Sub(j.attemptStartedAt)})
+	case r.verdict == answered || r.verdict == failed:
+		j.Quarantine.RecordResponse(now, j.subjects)
+	}
+}
+
+// crashSubjects returns the subjects of the request that may be why an upstream has crashed. Parts are
+// not if the upstream had written the response for long.
+func (j *job) crashSubjects(now time.Time) []quarantine.Subject {
+	if j.isLastingStream(now) {
+		return j.subjects[:1]
+	}
+	return j.subjects
+}
+
+// isLastingStream reports whether the latest attempt has brought events for longer than an upstream
+// lives that writes a response on a part that crashes it.
+func (j *job) isLastingStream(now time.Time) bool {
+	return !j.firstEventAt.IsZero() && now.Sub(j.firstEventAt) >= lastingStreamTime
+}
+
+// clearPartsOfLastingStream reports to the quarantine that an upstream writes a response and lives on. While
+// engines crash every few moments, few long streams reach their end.
+func (j *job) clearPartsOfLastingStream() {
+	now := time.Now()
+	if j.clearedParts || !j.isLastingStream(now) {
+		return
 	}
+	j.clearedParts = true
+	j.Quarantine.RecordResponse(now, j.partSubjects())
 }
--- a/jackdawd/internal/relay/record.go
+++ b/jackdawd/internal/relay/record.go
@@ -98,7 +98,8 @@
 	// ID of the last event that the caller has of it; empty for none.
 	ResumedID   string
 	ResumeAfter string
-	// Fingerprint is set if an upstream crashed while it ran the request or a copy of it.
+	// Fingerprint is set if an upstream crashed while it ran the request, and if the request is refused
+	// because upstreams crashed while they ran others like it. It is then that of the reason.
 	Fingerprint quarantine.Fingerprint
 	// PromptParts are the IDs of the parts of its prompt that other requests may share; set as
 	// Fingerprint is.
@@ -155,8 +156,8 @@
 		RequestID: j.request.ID, ResumedID: j.request.ResumedID, ResumeAfter: j.request.ResumeAfter, Workspace: j.workspace.Name, Pool: j.pool.Name, Arrived: j.arrived, Steps: j.steps,
 		Outcome: o, Status: status, Refusal: refusal, TimeToFirstByte: j.timeToFirstByte, MaxEventGap: j.maxEventGap, Duration: time.Since(j.arrived),
 	}
-	if j.suspected {
-		r.Fingerprint, r.PromptParts = j.fingerprint, j.request.SharedPartIDs()
+	if j.suspect != 0 {
+		r.Fingerprint, r.PromptParts = j.suspect, j.request.SharedPartIDs()
 	}
 	if j.route != nil {
 		r.Route, r.Kind = j.route.Name, string(j.route.Kind)
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -34,6 +34,7 @@
 				return result{verdict: callerLeft, err: err}
 			}
 			j.setEventTimeout(resp)
+			j.clearPartsOfLastingStream()
 		}
 		switch {
 		case errors.Is(err, io.EOF) && (j.splitter.PendingBytes() > 0 || j.splitter.EventCount() == 0):
@@ -73,6 +74,9 @@
 		j.writeHeader(resp.Status(), resp.Header())
 	}
 	now := time.Now()
+	if j.firstEventAt.IsZero() {
+		j.firstEventAt = now
+	}
 	if !j.lastWriteAt.IsZero() {
 		j.maxEventGap = max(j.maxEventGap, now.Sub(j.lastWriteAt))
 	}
