--- a/jackdawd/internal/fleet/slots.go
+++ b/jackdawd/internal/fleet/slots.go
@@ -22,7 +22,7 @@
 
 // SlotArgs ask the owner of a brittle upstream for one of its slots, or give one back.
 type SlotArgs struct {
-	// Upstream is the short hash of the upstream, Slots how many requests it may get at a time.
+	// Upstream is the short hash of the upstream, Slots how many leases of its slots there may be.
 	Upstream uint32
 	Slots    int
 	// Lease is a random number that identifies the request.
@@ -88,14 +88,14 @@
 	return Peer{Name: name, Registration: s.directory.All()[name]}, true
 }
 
-// AcquireSlot asks the owner of a brittle upstream for one of its slots. If it is granted, release
+// AcquireSlot asks the owner of a brittle upstream for one of those of its slots that hosts lease. If it is granted, release
 // must be called. It returns an error if no owner answers.
-func (s *Source) AcquireSlot(u *traffic.Upstream, ttl time.Duration) (release func(), granted bool, err error) {
+func (s *Source) AcquireSlot(u *traffic.Upstream, slots int, ttl time.Duration) (release func(), granted bool, err error) {
 	owner, ok := s.ownerOf(time.Now(), u.Hash, slotCall)
 	if !ok {
 		return nil, false, errNoSlotOwner
 	}
-	args := &SlotArgs{Upstream: u.ShortHash(), Slots: u.Slots, Lease: rand.Uint64(), TTL: ttl}
+	args := &SlotArgs{Upstream: u.ShortHash(), Slots: slots, Lease: rand.Uint64(), TTL: ttl}
 	granted, err = s.callSlotOwner(owner, args)
 	if err != nil || !granted {
 		return nil, false, err
--- a/jackdawd/internal/placement/brittle.go
+++ b/jackdawd/internal/placement/brittle.go
@@ -25,6 +25,11 @@
 	// brittleLoadRatio is the part of its slots that a brittle upstream uses in the mean if nobody
 	// leases them. The rest absorbs requests that hosts send at the same moment.
 	brittleLoadRatio = 0.3
+	// minDominantRatio is how many times the requests of all other hosts a host must have at a brittle
+	// upstream to use more than its share, in the mean over about dominanceWindow. When all hosts get
+	// more requests, none has that many.
+	minDominantRatio = 2
+	dominanceWindow  = time.Second
 	// minBrittleDuration is the mean duration of requests if it is not known.
 	minBrittleDuration = 50 * time.Millisecond
 )
@@ -45,8 +50,26 @@
 	seenAt      time.Time
 	pausedUntil map[traffic.UpstreamInstance]time.Time
 	limiters    map[traffic.UpstreamInstance]*rate.Limiter
+	meanLoads   map[traffic.UpstreamInstance]*meanLoad
 }
 
+// meanLoad is the mean of an upstream's load over about dominanceWindow.
+type meanLoad struct {
+	own, others float64
+	updatedAt   time.Time
+}
+
+// add updates the mean with a load.
+func (m *meanLoad) add(now time.Time, load Load) {
+	weight := 1 - math.Exp(-now.Sub(m.updatedAt).Seconds()/dominanceWindow.Seconds())
+	m.own += weight * (load.Own - m.own)
+	m.others += weight * (load.Others - m.others)
+	m.updatedAt = now
+}
+
+// isDominant reports whether this host has far more requests there than all others.
+func (m *meanLoad) isDominant() bool { return m.own > minDominantRatio*m.others }
+
 // A BrittleShare is what determines a host's share of a brittle upstream.
 type BrittleShare struct {
 	// Hosts is the number of hosts of the fleet.
@@ -71,7 +94,7 @@
 		return
 	}
 	if !ok {
-		p = &brittlePool{pausedUntil: map[traffic.UpstreamInstance]time.Time{}, limiters: map[traffic.UpstreamInstance]*rate.Limiter{}}
+		p = &brittlePool{pausedUntil: map[traffic.UpstreamInstance]time.Time{}, limiters: map[traffic.UpstreamInstance]*rate.Limiter{}, meanLoads: map[traffic.UpstreamInstance]*meanLoad{}}
 		b.pools[pool] = p
 	}
 	p.limit, p.seenAt = limit, now
@@ -104,9 +127,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pool(now, u)
-	switch {
-	case p == nil:
+	if p == nil {
 		return true
+	}
+	p.meanLoad(now, u).add(now, load)
+	switch {
 	case now.Before(p.pausedUntil[u.Instance()]):
 		return false
 	case p.needsLease(u, share):
@@ -130,6 +155,21 @@
 	return own <= ownSlots(u, share), false
 }
 
+// SpareSlots returns how many of an upstream's slots hosts may lease together beyond their shares, by its
+// latest report. Where most callers come to one host, the shares of the others are idle.
+func (b *Brittleness) SpareSlots(now time.Time, u *traffic.Upstream, load Load, share BrittleShare) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pool(now, u)
+	if p == nil || p.needsLease(u, share) || now.Before(p.pausedUntil[u.Instance()]) || load.Age >= brittleReportTTL {
+		return 0
+	}
+	if load.Own+load.Others >= float64(u.Slots) || !p.meanLoad(now, u).isDominant() {
+		return 0
+	}
+	return max(u.Slots-int(math.Ceil(load.Others))-ownSlots(u, share), 0)
+}
+
 // TakeWithoutLease counts a request that gets no lease as no host answers, and reports whether this
 // host may send it.
 func (b *Brittleness) TakeWithoutLease(now time.Time, u *traffic.Upstream, own int, share BrittleShare) bool {
@@ -144,6 +184,16 @@
 	return share.Hosts > u.Slots+p.limit
 }
 
+// meanLoad returns the mean load of an upstream; one that is new begins as if others had it all.
+func (p *brittlePool) meanLoad(now time.Time, u *traffic.Upstream) *meanLoad {
+	m, ok := p.meanLoads[u.Instance()]
+	if !ok {
+		m = &meanLoad{others: float64(u.Slots), updatedAt: now}
+		p.meanLoads[u.Instance()] = m
+	}
+	return m
+}
+
 // pool returns the state of an upstream's pool, or nil if it is not brittle. The lock must be held.
 func (b *Brittleness) pool(now time.Time, u *traffic.Upstream) *brittlePool {
 	p, ok := b.pools[u.Pool]
--- a/jackdawd/internal/placement/brittle_test.go
+++ b/jackdawd/internal/placement/brittle_test.go
@@ -84,3 +84,34 @@
 	require.False(t, b.IsBrittle(now.Add(brittleTTL+1), "mailbox"))
 	require.True(t, b.Accepts(now.Add(brittleTTL+1), &brittleUpstream, Load{Own: 1}, share))
 }
+
+// Guards against a host that gets almost all requests and refuses them for its small share while the
+// shares of the others are idle, and against hosts that all use more than their shares as load grows.
+func TestDominantHostUsesIdleShares(t *testing.T) {
+	for name, test := range map[string]struct {
+		own, others float64
+		want        int
+	}{
+		"dominant":            {own: 3, others: 0, want: 5},
+		"dominant, some left": {own: 3, others: 1, want: 4},
+		"equal":               {own: 2, others: 2, want: 0},
+		"one of many":         {own: 1, others: 4, want: 0},
+		"no free slot":        {own: 6, others: 0, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, now, share := NewBrittleness(), time.Now(), BrittleShare{Hosts: 8}
+			load := Load{Own: test.own, Others: test.others}
+			for range 300 {
+				b.Record(now, "mailbox", 3)
+				b.Accepts(now, &brittleUpstream, load, share)
+				now = now.Add(10 * time.Millisecond)
+			}
+			require.Equal(t, test.want, b.SpareSlots(now, &brittleUpstream, load, share))
+			load.Age = brittleReportTTL
+			require.Zero(t, b.SpareSlots(now, &brittleUpstream, load, share), "the report is old")
+		})
+	}
+	b, now := NewBrittleness(), time.Now()
+	b.Record(now, "mailbox", 3)
+	require.Zero(t, b.SpareSlots(now, &brittleUpstream, Load{Own: 3}, BrittleShare{Hosts: 8}), "a moment says nothing")
+}
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -150,10 +150,20 @@
 func (j *job) takeBrittle(u *traffic.Upstream, own int) (release func(), ok bool) {
 	now, share := time.Now(), j.brittleShare()
 	ok, needsLease := j.Brittleness.Take(now, u, own, share)
-	if !ok || !needsLease {
-		return func() {}, ok
+	if ok && !needsLease {
+		return func() {}, true
+	}
+	slots := u.Slots
+	if !ok {
+		slots = j.spareBrittleSlots(now, u, own)
+	}
+	if slots == 0 {
+		return nil, false
+	}
+	release, granted, err := j.SlotLeases.AcquireSlot(u, slots, time.Until(j.deadline))
+	if err != nil && !ok {
+		return nil, false
 	}
-	release, granted, err := j.SlotLeases.AcquireSlot(u, time.Until(j.deadline))
 	if err != nil {
 		return func() {}, j.Brittleness.TakeWithoutLease(now, u, own, share)
 	}
@@ -163,6 +173,14 @@
 	return release, true
 }
 
+// spareBrittleSlots returns how many of a brittle upstream's slots hosts may lease beyond their shares; own
+// counts this host's requests there, this one included.
+func (j *job) spareBrittleSlots(now time.Time, u *traffic.Upstream, own int) int {
+	load := j.Loads.Load(now, u)
+	load.Own = float64(own - 1)
+	return j.Brittleness.SpareSlots(now, u, load, j.brittleShare())
+}
+
 // recordConnected records that the attempt has a connection. The time until then says nothing of the
 // upstream's queue.
 func (j *job) recordConnected(u *traffic.Upstream, through string) {
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -81,9 +81,9 @@
 
 // SlotLeases grant slots of brittle upstreams to the hosts of the fleet.
 type SlotLeases interface {
-	// AcquireSlot reports whether a request has one of an upstream's slots, for ttl at most; release
-	// gives it back. It returns an error if it is not known.
-	AcquireSlot(u *traffic.Upstream, ttl time.Duration) (release func(), granted bool, err error)
+	// AcquireSlot reports whether a request has one of the given number of an upstream's slots, for ttl
+	// at most; release gives it back. It returns an error if it is not known.
+	AcquireSlot(u *traffic.Upstream, slots int, ttl time.Duration) (release func(), granted bool, err error)
 }
 
 // Streams keeps which software version began each stream, beyond the life of this host.
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -147,7 +147,7 @@
 			if left.backoff == 0 || remaining < left.backoff {
 				left.backoff = remaining
 			}
-		case !j.Brittleness.Accepts(now, u, j.Loads.Load(now, u), share):
+		case !j.Brittleness.Accepts(now, u, j.Loads.Load(now, u), share) && j.Brittleness.SpareSlots(now, u, j.Loads.Load(now, u), share) == 0:
 			left.brittle++
 		case j.snapshot.Avoided(u.ID) || j.IsUnreached(u.Address):
 			avoided = append(avoided, u)
