--- a/jackdawd/internal/admission/hostload_test.go
+++ b/jackdawd/internal/admission/hostload_test.go
@@ -51,3 +51,28 @@
 		})
 	}
 }
+
+// Guards against a host that gets most new connections and refuses requests although others have processor
+// time, and against hosts that send callers from one to the other while all are busy or the others are down.
+func TestConnectionRefusalRatio(t *testing.T) {
+	const wait = (minConnectionDelay + maxConnectionDelay) / 2
+	for name, test := range map[string]struct {
+		delay time.Duration
+		share HostShare
+		want  float64
+	}{
+		"most requests, idle":        {0, HostShare{Own: 90, Others: 10, Hosts: 8}, 0},
+		"most requests, busy":        {wait, HostShare{Own: 90, Others: 10, Hosts: 8}, 0.5},
+		"most requests, far beyond":  {time.Second, HostShare{Own: 90, Others: 10, Hosts: 8}, 1},
+		"most of one of many":        {wait, HostShare{Own: 30, Others: 1000, Hosts: 195}, 0.5},
+		"even share, far beyond":     {time.Second, HostShare{Own: 13, Others: 87, Hosts: 8}, 0},
+		"nothing known of the rest":  {time.Second, HostShare{Own: 100, Hosts: 8}, 0},
+		"the only host":              {time.Second, HostShare{Own: 100, Others: 1, Hosts: 1}, 0},
+		"host count not known":       {time.Second, HostShare{Own: 100, Others: 1}, 0},
+		"refusals of requests begin": {minHostDelay, HostShare{Own: 90, Others: 10, Hosts: 8}, 0.75},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.InDelta(t, test.want, ConnectionRefusalRatio(test.delay, test.share), 1e-9)
+		})
+	}
+}
--- a/jackdawd/internal/entry/callerconns.go
+++ b/jackdawd/internal/entry/callerconns.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"jackdawhinge/jackdawd/internal/admission"
 )
 
 const (
@@ -33,6 +35,11 @@
 	// maps each to its list element.
 	idle     *list.List
 	elements map[net.Conn]*list.Element
+	// refuse reports whether a new connection is closed before anything is read from it; nil means never.
+	refuse  func() bool
+	refused int64
+	// recentlyRefused counts such connections with decay.
+	recentlyRefused admission.RecentCount
 }
 
 // idleConn is an idle connection and the time since which it has been idle.
@@ -41,9 +48,10 @@
 	since time.Time
 }
 
-// newCallerConns returns a callerConns that limits the number of open connections to maxOpen.
-func newCallerConns(maxOpen int) *callerConns {
-	return &callerConns{maxOpen: maxOpen, idle: list.New(), elements: map[net.Conn]*list.Element{}}
+// newCallerConns returns a callerConns that limits the number of open connections to maxOpen and closes
+// new ones that refuse refuses.
+func newCallerConns(maxOpen int, refuse func() bool) *callerConns {
+	return &callerConns{maxOpen: maxOpen, refuse: refuse, idle: list.New(), elements: map[net.Conn]*list.Element{}}
 }
 
 // count returns the number of open connections.
@@ -53,15 +61,34 @@
 	return int64(c.open)
 }
 
+// refusedCount returns how many new connections were closed before anything was read from them.
+func (c *callerConns) refusedCount() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
 // setState records a connection's new state; it is the server's ConnState callback. A new
 // connection beyond maxOpen closes the one idle for longest, if any is idle.
 func (c *callerConns) setState(conn net.Conn, state http.ConnState) {
+	// The decision needs no lock, and takes its time at a host with many upstreams.
+	refused := state == http.StateNew && c.refuse != nil && c.refuse()
+	if refused {
+		// The server has not read from the connection yet, so that its caller knows that the request
+		// has not run.
+		_ = conn.Close()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.remove(conn)
 	switch state {
 	case http.StateNew:
 		c.open++
+		if refused {
+			c.refused++
+			c.recentlyRefused.Add(time.Now())
+			return
+		}
 		if oldest := c.idle.Front(); oldest != nil && c.open > c.maxOpen {
 			c.close(oldest.Value.(idleConn))
 		}
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -153,7 +154,8 @@
 	if o.Uptime == nil {
 		o.Uptime = uptime
 	}
-	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), history: resumption.NewHistory(time.Now(), o.FirstStart), paths: transit.NewPaths(), conns: newCallerConns(maxCallerConns(o.MaxSockets)), serverErr: make(chan error, 1)}
+	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), history: resumption.NewHistory(time.Now(), o.FirstStart), paths: transit.NewPaths(), serverErr: make(chan error, 1)}
+	h.conns = newCallerConns(maxCallerConns(o.MaxSockets), h.refusesConnection)
 	h.bounds.Store(&o.Bounds)
 	h.tunnels = transit.NewServer(transit.ServerOptions{Dial: h.upstreamDialer(), Paths: h.paths, IsUpstream: h.isUpstream, MaxTunnels: max(o.MaxSockets/tunnelSocketDivisor, 1)})
 	h.balancer = placement.NewBalancer(h.loads, h.engines, h.loadMultiple)
@@ -240,6 +242,25 @@
 	return byPool
 }
 
+// refusesConnection reports whether a new connection of a caller is closed unread, because this host has
+// more work than processor time and others have less.
+func (h *Host) refusesConnection() bool {
+	if h.options.SchedulingDelay == nil {
+		return false
+	}
+	delay := h.options.SchedulingDelay()
+	if !admission.IsBusy(delay) {
+		return false
+	}
+	now := time.Now()
+	share := admission.HostShare{Own: h.handler.RefusedForLoad() + h.conns.recentlyRefused.Value(now), Hosts: h.hostCount()}
+	for _, upstreams := range h.tracker.Snapshot().ReadyPools() {
+		own, others := h.loads.Total(now, upstreams)
+		share.Own, share.Others = share.Own+own, share.Others+others
+	}
+	return rand.Float64() < admission.ConnectionRefusalRatio(delay, share)
+}
+
 func (h *Host) hostCount() int { return h.source.Directory().Size() }
 
 func (h *Host) maxConfigurationAge() time.Duration { return h.bounds.Load().MaxConfigurationAge }
--- a/jackdawd/internal/placement/loads.go
+++ b/jackdawd/internal/placement/loads.go
@@ -140,6 +140,16 @@
 	return l.load(now, u)
 }
 
+// Total returns the number of requests at some upstreams: this host's own, and those of others by the
+// latest reports.
+func (l *Loads) Total(now time.Time, upstreams []*traffic.Upstream) (own, others float64) {
+	for _, load := range l.All(now, upstreams) {
+		own += load.Own
+		others += load.Others * reportWeight(load.Age)
+	}
+	return own, others
+}
+
 // All returns the loads of several upstreams, in the same order.
 func (l *Loads) All(now time.Time, upstreams []*traffic.Upstream) []Load {
 	l.mu.Lock()
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -136,6 +136,8 @@
 	Options
 	tracer     trace.Tracer
 	inProgress atomic.Int64
+	// refusedForLoad counts the requests that were refused for lack of processor time.
+	refusedForLoad admission.RecentCount
 	// bodyBytes is the size reserved for the bodies of all requests in progress.
 	bodyBytes atomic.Int64
 	// refuseAfterUnixNano is when a draining host starts to refuse requests; 0 while it is not
@@ -151,6 +153,10 @@
 // InProgress returns the number of requests in progress.
 func (h *Handler) InProgress() int64 { return h.inProgress.Load() }
 
+// RefusedForLoad returns about how many requests more would be in progress if none were refused for lack of
+// processor time.
+func (h *Handler) RefusedForLoad() float64 { return h.refusedForLoad.Value(time.Now()) }
+
 // Drain starts to drain the host: each response closes its connection, and requests that arrive
 // after refuseFrom are refused.
 func (h *Handler) Drain(refuseFrom time.Time) {
@@ -194,6 +200,7 @@
 	if j.SchedulingDelay == nil || j.request.ResumeAfter != "" || rand.Float64() >= admission.HostRefusalRatio(j.SchedulingDelay()) {
 		return nil
 	}
+	j.refusedForLoad.Add(time.Now())
 	return work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the host has too little processor time").WithRetryAfter(retryAfterUnavailable)
 }
 
