--- a/jackdawd/internal/exchange/client_test.go
+++ b/jackdawd/internal/exchange/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -201,3 +202,47 @@
 	}
 	require.EqualValues(t, 2, client.DialCount())
 }
+
+// Guards against a response with neither a length nor chunks that is taken for whole although its connection
+// was reset, and against a request that is sent on the connection of a whole one.
+func TestUnframedResponseEndsWithConnection(t *testing.T) {
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			address, conns := listen(t)
+			client := NewClient(platform.Protocol{}, nil)
+			defer client.Close()
+			served := make(chan error, 1)
+			go func() {
+				c := <-conns
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err == nil {
+					_, err = io.Copy(io.Discard, req.Body)
+				}
+				if err == nil {
+					_, err = io.WriteString(c, standin.ResponseHead(http.StatusOK, "1", "s")+"\r\nbody")
+				}
+				if reset && err == nil {
+					err = c.(*net.TCPConn).SetLinger(0)
+				}
+				served <- errors.Join(err, c.Close())
+			}()
+			resp, err := client.Do(t.Context(), newRequest(address, "1"))
+			if err != nil {
+				require.True(t, reset)
+				require.True(t, ClosedByPeer(err))
+				return
+			}
+			require.False(t, resp.Framed())
+			body, err := io.ReadAll(resp)
+			resp.Close()
+			require.NoError(t, <-served)
+			require.Equal(t, reset, err != nil)
+			if reset {
+				require.True(t, ClosedByPeer(err))
+				return
+			}
+			require.Equal(t, "body", string(body))
+			require.Empty(t, client.idle[address])
+		})
+	}
+}
--- a/jackdawd/internal/exchange/response.go
+++ b/jackdawd/internal/exchange/response.go
@@ -40,6 +40,11 @@
 // ContentLength returns the length of the body in bytes, or -1 if it is unknown.
 func (r *Response) ContentLength() int64 { return r.resp.ContentLength }
 
+// Framed reports whether the body has a length or chunks; one that has neither ends with its connection.
+func (r *Response) Framed() bool {
+	return r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
+}
+
 // SetReadTimeout sets the timeout of each read of the body; 0 means that only the context bounds it.
 func (r *Response) SetReadTimeout(d time.Duration) { r.readTimeout = d }
 
@@ -194,11 +199,7 @@
 // connReusable reports whether the exchange is over: the response is complete and delimited, and the
 // request has been written.
 func (r *Response) connReusable() bool {
-	if !r.complete || r.resp.Close {
-		return false
-	}
-	delimited := r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
-	if !delimited {
+	if !r.complete || r.resp.Close || !r.Framed() {
 		return false
 	}
 	if r.bodyWritten == nil {
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -250,10 +250,10 @@
 		return j.relayUnbuffered(ctx, resp, buffered)
 	}
 	if resp.Status() >= http.StatusInternalServerError {
-		return result{verdict: failed, response: buffered}
+		return result{verdict: failed, response: buffered, unframed: !resp.Framed()}
 	}
 	j.writeBuffered(buffered)
-	return result{verdict: answered}
+	return result{verdict: answered, unframed: !resp.Framed()}
 }
 
 var (
@@ -304,7 +304,7 @@
 		}
 		return result{verdict: broken, err: err}
 	}
-	return result{verdict: answered}
+	return result{verdict: answered, unframed: !resp.Framed()}
 }
 
 // writerOnly and readerOnly hide all other methods, so that io.CopyBuffer uses the given buffer.
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -125,6 +125,9 @@
 	verdict  verdict
 	err      error
 	response *bufferedResponse
+	// unframed is set if the response ended with its connection, as that of an upstream that crashes
+	// may too.
+	unframed bool
 }
 
 const (
--- a/jackdawd/internal/relay/quarantine.go
+++ b/jackdawd/internal/relay/quarantine.go
@@ -97,7 +97,7 @@
 	case r.verdict == broken && (exchange.ClosedByPeer(r.err) || errors.Is(r.err, errTruncatedEvent)):
 		j.suspect = j.subjects[0].Fingerprint
 		j.Quarantine.RecordCrash(now, j.crashSubjects(now), quarantine.CrashRecord{Start: u.ShortHash(), Ran: now.Sub(j.attemptStartedAt)})
-	case r.verdict == answered || r.verdict == failed:
+	case (r.verdict == answered || r.verdict == failed) && !r.unframed:
 		j.Quarantine.RecordResponse(now, j.subjects)
 	}
 }
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -40,7 +40,7 @@
 		case errors.Is(err, io.EOF) && (j.splitter.PendingBytes() > 0 || j.splitter.EventCount() == 0):
 			return result{verdict: broken, err: errTruncatedEvent}
 		case errors.Is(err, io.EOF):
-			return result{verdict: answered}
+			return result{verdict: answered, unframed: !resp.Framed()}
 		case err != nil && ctx.Err() != nil && j.r.Context().Err() != nil:
 			return result{verdict: callerLeft, err: err}
 		case err != nil:
