--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	go build -o bin/ ./soak
 	rm -rf bin/soak-logs
 	bin/soak run bin/jackdawd bin/soak-logs --seed 1 --faults 6s
+	bin/soak run bin/jackdawd bin/soak-logs --seed 8007 --faults 10s --hosts 8 --upstreams 24 --only crash-on-part,skew-callers,unframe-upstream
 	bin/soak run bin/jackdawd bin/soak-logs --regressions
 
 model:
--- a/soak/internal/plan/plan.go
+++ b/soak/internal/plan/plan.go
@@ -64,8 +64,17 @@
 	SilenceUpstream Kind = "silence-upstream"
 	// TurnBrittle makes the upstreams of a service brittle.
 	TurnBrittle Kind = "turn-brittle"
+	// CrashOnPart makes engines crash under prompts with a part, which come to all hosts meanwhile.
+	CrashOnPart Kind = "crash-on-part"
+	// SkewCallers makes most callers use one host.
+	SkewCallers Kind = "skew-callers"
+	// UnframeUpstream makes an upstream send responses that end with their connections.
+	UnframeUpstream Kind = "unframe-upstream"
 )
 
+// trafficKinds are kinds of faults that have a random stream together.
+var trafficKinds = []Kind{CrashOnPart, SkewCallers, UnframeUpstream}
+
 // upstreamStateKinds are kinds of faults that have a random stream together.
 var upstreamStateKinds = []Kind{SilenceUpstream, TurnBrittle}
 
@@ -121,6 +130,12 @@
 	upstreamStateStream  = 3
 	// upstreamStateDuration is longer than hosts may take to learn that upstreams are brittle.
 	upstreamStateDuration = 5 * time.Second
+	// firstTrafficSeed is the first seed whose plan has faults of trafficKinds. Smaller seeds keep the
+	// plans with which they were recorded.
+	firstTrafficSeed = 8000
+	trafficStream    = 4
+	// trafficDuration is longer than hosts may take to recognize a part that crashes engines.
+	trafficDuration = 8 * time.Second
 	// evacuationDuration is longer than hosts may take to learn of an evacuation.
 	evacuationDuration = 6 * time.Second
 )
@@ -147,6 +162,7 @@
 	faults = append(faults, generateRestores(seed, length)...)
 	faults = append(faults, generateEvacuations(seed, length)...)
 	faults = append(faults, generateUpstreamStates(seed, length)...)
+	faults = append(faults, generateTraffic(seed, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return slices.DeleteFunc(faults, func(f Fault) bool { return f.Start >= length })
 }
@@ -203,3 +219,20 @@
 	}
 	return faults
 }
+
+// generateTraffic returns the faults of trafficKinds in the plan of a seed: one or two, which overlap.
+func generateTraffic(seed uint64, length time.Duration) []Fault {
+	if seed < firstTrafficSeed || length <= firstFaultStart {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, trafficStream))
+	latestStart := max(length-trafficDuration, firstFaultStart+minFaultDuration)
+	var faults []Fault
+	for range 1 + random.IntN(2) {
+		f := Fault{Kind: trafficKinds[random.IntN(len(trafficKinds))], Target: random.IntN(targetRange)}
+		f.Start = firstFaultStart + time.Duration(random.Int64N(int64(latestStart-firstFaultStart)))
+		f.Duration = min(trafficDuration, length-f.Start)
+		faults = append(faults, f)
+	}
+	return faults
+}
--- a/soak/internal/plan/plan_test.go
+++ b/soak/internal/plan/plan_test.go
@@ -34,3 +34,18 @@
 		require.True(t, slices.ContainsFunc(Generate(r.Seed, cmp.Or(r.FaultDuration, 12*time.Second)), isNeeded), "seed %d: %s", r.Seed, r.Cause)
 	}
 }
+
+// Guards against seeds that were recorded with a fault and no longer play the plan of then.
+func TestSmallSeedsKeepTheirPlans(t *testing.T) {
+	seen := map[Kind]bool{}
+	for seed := range uint64(2 * firstTrafficSeed) {
+		for _, f := range Generate(seed, 12*time.Second) {
+			isTraffic := slices.Contains(trafficKinds, f.Kind)
+			require.False(t, isTraffic && seed < firstTrafficSeed, "seed %d", seed)
+			seen[f.Kind] = seen[f.Kind] || isTraffic
+		}
+	}
+	for _, kind := range trafficKinds {
+		require.True(t, seen[kind], kind)
+	}
+}
--- a/soak/internal/rig/caller.go
+++ b/soak/internal/rig/caller.go
@@ -24,6 +24,8 @@
 	revokedKeyPercent = 8
 	probePercent      = 10
 	maxEvents         = 20
+	// skewPercent is the percentage of requests that come to one host while callers are skewed.
+	skewPercent = 95
 	// maxResumptions is how often a caller resumes a stream that broke off.
 	maxResumptions = 2
 	// otherVersion is the software version of every other engine; one that restarts changes its
@@ -44,6 +46,9 @@
 // newExchange returns the exchange of a request to a random host, and the caller that sends it.
 func (f *Fleet) newExchange(random *rand.Rand, id, key string) (verdict.Exchange, standin.Caller) {
 	hostIndex := random.IntN(len(f.hosts))
+	if skewedTo := int(f.skewedTo.Load()); skewedTo >= 0 && random.IntN(100) < skewPercent {
+		hostIndex = skewedTo
+	}
 	host := f.hosts[hostIndex]
 	e := verdict.Exchange{ID: id, Host: hostIndex, Incarnation: host.Incarnation(), Key: key}
 	return e, standin.Caller{Address: host.publicAddress, Host: routeHost, Key: key, Timeout: callerTimeout}
--- a/soak/internal/rig/fleet.go
+++ b/soak/internal/rig/fleet.go
@@ -67,6 +67,8 @@
 	operator    *operator
 	hosts       []*Host
 	upstreams   []*Upstream
+	// skewedTo is the index of the host that most callers use, -1 for none.
+	skewedTo atomic.Int64
 	// upstreamFaultMu has a mutex for each upstream, held while a fault is injected into it.
 	upstreamFaultMu []sync.Mutex
 	record          *verdict.Record
@@ -77,6 +79,7 @@
 // does not start or this process runs out of file descriptors.
 func Run(o Options) (*verdict.Record, error) {
 	f := &Fleet{seed: o.Seed, store: standin.NewStore(), record: &verdict.Record{Hosts: o.Hosts, PoolUpstreams: o.Upstreams / 2}, dir: o.Dir}
+	f.skewedTo.Store(-1)
 	defer f.close()
 	if err := f.start(o); err != nil {
 		return nil, err
@@ -237,6 +240,12 @@
 		f.evacuate(failureDomains[fault.Target%len(failureDomains)], fault.Duration)
 	case plan.TurnBrittle:
 		f.turnBrittle(services[fault.Target%len(services)], fault.Duration)
+	case plan.CrashOnPart:
+		f.crashOnPart(fault)
+	case plan.SkewCallers:
+		f.skewedTo.Store(int64(hostIndex))
+		time.Sleep(fault.Duration)
+		f.skewedTo.Store(-1)
 	case plan.AddRoute:
 		f.record.AddChange(f.operator.addRoute())
 	case plan.RevokeKey:
@@ -370,6 +379,10 @@
 		u.SetBehavior(executeAndGarble)
 		time.Sleep(fault.Duration)
 		u.SetBehavior(nil)
+	case plan.UnframeUpstream:
+		u.SetBehavior(executeUnframed)
+		time.Sleep(fault.Duration)
+		u.SetBehavior(nil)
 	case plan.HangUpstream:
 		u.SetBehavior(executeAndHang)
 		time.Sleep(fault.Duration)
--- a/soak/internal/rig/upstream.go
+++ b/soak/internal/rig/upstream.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jackdawhinge/platform/standin"
@@ -45,6 +46,8 @@
 	heartbeats int
 	server     *http.Server
 	proxy      *Proxy
+	// crashes is the part that crashes engines, and how; nil while there is none.
+	crashes atomic.Pointer[crashingPart]
 	// runners and ids are those of all incarnations.
 	runners []*standin.Runner
 	ids     []string
@@ -90,7 +93,7 @@
 		u.runner.SetVersion(otherVersion)
 	}
 	u.runners, u.ids = append(u.runners, u.runner), append(u.ids, u.id)
-	u.server, u.proxy, u.state = &http.Server{Handler: u.runner}, proxy, "ready"
+	u.server, u.proxy, u.state = &http.Server{Handler: u.crashOnPart(u.runner)}, proxy, "ready"
 	if len(u.runners) > 1 {
 		u.setCold()
 	}
@@ -191,6 +194,13 @@
 	u.proxy.Close()
 }
 
+// incarnation returns the ID of the current incarnation.
+func (u *Upstream) incarnation() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.id
+}
+
 // Proxy returns the proxy of the current incarnation.
 func (u *Upstream) Proxy() *Proxy {
 	u.mu.Lock()
@@ -278,3 +288,26 @@
 		return true
 	}
 }
+
+// executeUnframed returns a behavior that executes every request and ends its response with the connection.
+// Of three streams in turn, one ends inside an event.
+func executeUnframed(r *standin.Runner) standin.Behavior {
+	var streams atomic.Int64
+	return func(w http.ResponseWriter, req *http.Request, body []byte) bool {
+		id := r.RecordRun(req, body).ID
+		contentType, text := "text/plain", fmt.Sprintf("answer to %s", id)
+		if events := r.Events(req); events != "" {
+			contentType, text = "text/event-stream", events
+			if streams.Add(1)%3 == 0 {
+				text = text[:len(text)-2]
+			}
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return true
+		}
+		_, _ = io.WriteString(c, standin.ResponseHead(http.StatusOK, id, "s")+"Content-Type: "+contentType+"\r\n\r\n"+text)
+		_ = c.Close()
+		return true
+	}
+}
--- a/soak/internal/verdict/checks.go
+++ b/soak/internal/verdict/checks.go
@@ -30,6 +30,10 @@
 	// brittle.
 	maxFalls        = 2
 	maxFallsDivisor = 10
+	// maxPartCrashes is how many engines a part of prompts may crash until, SettleTime later, at most
+	// maxLateParts requests with it reach engines.
+	maxPartCrashes = 5
+	maxLateParts   = 3
 	// MaxRecoveryTime is how long the system may take to serve again after the last fault.
 	MaxRecoveryTime = 6 * time.Second
 	// LoadMultiple and loadAllowance bound the load of an upstream by the mean of its pool. A small
@@ -57,7 +61,7 @@
 
 // Check returns all violations of the guarantees in a record.
 func Check(r *Record) []Violation {
-	checks := []func(*Record) []Violation{checkResponses, checkAtMostOnce, checkRefusals, checkRetries, checkDrain, checkRouteAdded, checkNoRollback, checkRevocation, checkEvacuation, checkColdUpstreams, checkRecovery, checkGracefulStop, checkLoadBound, checkConvergence, checkBrittleUpstreams, checkVersions}
+	checks := []func(*Record) []Violation{checkResponses, checkAtMostOnce, checkRefusals, checkRetries, checkDrain, checkRouteAdded, checkNoRollback, checkRevocation, checkEvacuation, checkColdUpstreams, checkRecovery, checkGracefulStop, checkLoadBound, checkConvergence, checkBrittleUpstreams, checkVersions, checkPartCrashes}
 	var all []Violation
 	for _, check := range checks {
 		all = append(all, check(r)...)
@@ -293,6 +297,27 @@
 	return out
 }
 
+// checkPartCrashes checks that requests with a part that crashes engines no longer reach them.
+func checkPartCrashes(r *Record) (out []Violation) {
+	for _, p := range r.PartCrashes {
+		if len(p.CrashedAt) < maxPartCrashes {
+			continue
+		}
+		late := 0
+		for _, execution := range r.Executions {
+			host, known := p.Hosts[execution.ID]
+			after := execution.Started.Sub(p.CrashedAt[maxPartCrashes-1]) > SettleTime+timingSlack
+			if known && after && r.undisturbed(host, execution.Started, SettleTime) {
+				late++
+			}
+		}
+		if late > maxLateParts {
+			out = append(out, Violation{"crashing part", fmt.Sprintf("%d requests with a part reached engines after it had crashed %d of them, %d in all", late, maxPartCrashes, len(p.CrashedAt))})
+		}
+	}
+	return out
+}
+
 // checkConvergence checks that all hosts know each other and the number of store restores at the
 // end of the run.
 func checkConvergence(r *Record) (out []Violation) {
--- a/soak/internal/verdict/checks_test.go
+++ b/soak/internal/verdict/checks_test.go
@@ -139,3 +139,36 @@
 		})
 	}
 }
+
+// Guards against a check that passes while requests with a part that crashes engines go on reaching them.
+func TestPartCrashesAreChecked(t *testing.T) {
+	for name, test := range map[string]struct {
+		crashes   int
+		arrivals  []float64
+		disturbed bool
+		want      int
+	}{
+		"few late ones":           {5, []float64{1, 2, 9, 9.2, 9.4}, false, 0},
+		"many late ones":          {5, []float64{9, 9.2, 9.4, 9.6}, false, 1},
+		"hosts have time to act":  {5, []float64{5, 5.2, 5.4, 5.6, 5.8}, false, 0},
+		"hosts were out of touch": {5, []float64{9, 9.2, 9.4, 9.6}, true, 0},
+		"too few crashes":         {4, []float64{9, 9.2, 9.4, 9.6}, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, p := &Record{}, PartCrashes{Hosts: map[string]int{}}
+			for n := range test.crashes {
+				p.CrashedAt = append(p.CrashedAt, at(float64(n)))
+			}
+			for n, arrival := range test.arrivals {
+				id := fmt.Sprint(n)
+				p.Hosts[id] = 1
+				r.Executions = append(r.Executions, Execution{ID: id, Started: at(arrival)})
+			}
+			if test.disturbed {
+				r.AddHostFault(1, at(8), at(9))
+			}
+			r.AddPartCrashes(p)
+			require.Len(t, checkPartCrashes(r), test.want)
+		})
+	}
+}
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -128,6 +128,13 @@
 	Falls     int
 }
 
+// PartCrashes are what happened while a part of prompts crashed engines: when they crashed, and the index of
+// the host that each request with the part was sent to, by the request's ID.
+type PartCrashes struct {
+	CrashedAt []time.Time
+	Hosts     map[string]int
+}
+
 // HostView is what a host reports about the fleet and the store.
 type HostView struct {
 	// Hosts is the number of hosts that it knows, itself included; StoreRestores is how often the
@@ -152,6 +159,7 @@
 	// ColdCrashes are the upstreams that crashed because they got too many requests while cold.
 	ColdCrashes  []string
 	BrittleTimes []BrittleTime
+	PartCrashes  []PartCrashes
 	FaultEnd     time.Time
 	End          time.Time
 	Hosts        int
@@ -198,6 +206,13 @@
 	r.BrittleTimes = append(r.BrittleTimes, b)
 }
 
+// AddPartCrashes records what happened while a part of prompts crashed engines.
+func (r *Record) AddPartCrashes(p PartCrashes) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.PartCrashes = append(r.PartCrashes, p)
+}
+
 // AddChange records a change.
 func (r *Record) AddChange(c Change) {
 	r.mu.Lock()
