--- a/jackdawd/internal/quarantine/attribution.go
+++ b/jackdawd/internal/quarantine/attribution.go
@@ -46,13 +46,21 @@
 	return causes
 }
 
+// answeredRank returns 1 if an upstream has ever responded to a request of the suspect, else 0.
+func answeredRank(s *suspect) int {
+	if s.answeredAt.IsZero() {
+		return 0
+	}
+	return 1
+}
+
 // compareCandidates orders suspects by how likely they are causes. Of those with the same number of
 // crashes come first those that no upstream has ever responded to, and then those that concern the
 // fewest requests.
 func compareCandidates(a, b *suspect) int {
 	return cmp.Or(
 		-cmp.Compare(len(a.crashes), len(b.crashes)),
-		a.answeredAt.Compare(b.answeredAt),
+		cmp.Compare(answeredRank(a), answeredRank(b)),
 		cmp.Compare(a.subject.Kind.breadth(), b.subject.Kind.breadth()),
 		-cmp.Compare(a.subject.Depth, b.subject.Depth),
 		cmp.Compare(a.subject.Fingerprint, b.subject.Fingerprint),
--- a/jackdawd/internal/quarantine/record.go
+++ b/jackdawd/internal/quarantine/record.go
@@ -62,9 +62,10 @@
 func (s *suspect) merge(now time.Time, r Record) bool {
 	s.learn(r.Subject())
 	s.peakCrashes = max(s.peakCrashes, len(r.Crashes))
-	changed := false
+	// Whether there was any answer decides between suspects with the same crashes.
+	changed := r.Answered == s.answeredAt.IsZero()
 	if r.Answered {
-		changed = s.addResponse(now.Add(-max(r.AnsweredAge, 0)))
+		changed = s.addResponse(now.Add(-max(r.AnsweredAge, 0))) || changed
 	}
 	for _, c := range r.Crashes {
 		added := c.crash(now)
