--- a/jackdawd/internal/relay/quarantine.go
+++ b/jackdawd/internal/relay/quarantine.go
@@ -89,15 +89,17 @@
 }
 
 // reportToQuarantine reports the result of an attempt to the quarantine: an upstream that
-// crashes counts against the request, one that answers counts in its favor.
+// crashes counts against the request, one that answers counts in its favor. A response without a frame
+// counts for neither, as it ends in the same way if the upstream crashes.
 func (j *job) reportToQuarantine(u *traffic.Upstream, r result) {
-	j.setSubjects()
 	now := time.Now()
 	switch {
 	case r.verdict == broken && (exchange.ClosedByPeer(r.err) || errors.Is(r.err, errTruncatedEvent)):
+		j.setSubjects()
 		j.suspect = j.subjects[0].Fingerprint
 		j.Quarantine.RecordCrash(now, j.crashSubjects(now), quarantine.CrashRecord{Start: u.ShortHash(), Ran: now.Sub(j.attemptStartedAt)})
 	case (r.verdict == answered || r.verdict == failed) && !r.unframed:
+		j.setSubjects()
 		j.Quarantine.RecordResponse(now, j.subjects)
 	}
 }
