--- a/jackdawd/internal/entry/fleet_test.go
+++ b/jackdawd/internal/entry/fleet_test.go
@@ -202,6 +202,8 @@
 	client                           *http.Client
 	store                            *hostStore
 	processor                        simulatedProcessor
+	// isDown is set if callers no longer reach the host.
+	isDown bool
 }
 
 // fleetConfiguration returns a version of the encoded configuration.
--- a/jackdawd/internal/entry/skew_test.go
+++ b/jackdawd/internal/entry/skew_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/standin/network"
 )
 
 const (
@@ -58,6 +60,35 @@
 	}
 }
 
+// Guards against hosts that keep less than they may use because the one that got most callers is gone.
+func TestHostWithMostNewConnectionsGoesAway(t *testing.T) {
+	for name, leave := range map[string]func(f *testFleet, h *testHost){
+		"killed": func(f *testFleet, h *testHost) {
+			f.net.Kill(h.callerAddress)
+			f.net.Kill(h.peerAddress)
+		},
+		"frozen":  func(f *testFleet, h *testHost) { f.net.SetFault(h.peerAddress, network.Frozen) },
+		"drained": func(_ *testFleet, h *testHost) { h.handler.Drain(time.Now()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 8, func(t *testing.T, f *testFleet) {
+				for _, r := range f.slowServices(60*time.Millisecond, 6) {
+					r.SetBrittle(3)
+				}
+				before := f.sendSkewed(evenDuration, 100, 60, 0)
+				f.sendSkewed(2*stable, 100, 60, 0.95)
+				leave(f, f.hosts[0])
+				f.hosts[0].isDown = true
+				f.sendSkewed(stable, 100, 60, 0.95)
+				after := f.sendSkewed(skewDuration, 100, 60, 0.95)
+				t.Logf("before %d of %d, after %d of %d %v", before.served, before.sent, after.served, after.sent, after.failures)
+				require.GreaterOrEqual(t, after.servedRatio(), minSkewServedRatio*before.servedRatio())
+				f.requireRunOnce()
+			})
+		})
+	}
+}
+
 // simulatedProcessor is a host's processor with a backlog of work. It has no work unless a test adds some.
 type simulatedProcessor struct {
 	mu      sync.Mutex
@@ -153,6 +184,9 @@
 			if float64(n%100) < 100*skew {
 				h = f.hosts[0]
 			}
+			if h.isDown {
+				h = f.hosts[1]
+			}
 			n++
 			id := fmt.Sprintf("%s-%d", route, time.Since(f.start).Microseconds())
 			calls.Go(func() { counts.add(call(h, route, id)) })
