--- a/jackdawd/internal/fleet/slots.go
+++ b/jackdawd/internal/fleet/slots.go
@@ -88,8 +88,8 @@
 	return Peer{Name: name, Registration: s.directory.All()[name]}, true
 }
 
-// AcquireSlot asks the owner of a brittle upstream for one of those of its slots that hosts lease. If it is granted, release
-// must be called. It returns an error if no owner answers.
+// AcquireSlot asks the owner of a brittle upstream for one of the given number of its slots that hosts
+// lease. If it is granted, release must be called. It returns an error if no owner answers.
 func (s *Source) AcquireSlot(u *traffic.Upstream, slots int, ttl time.Duration) (release func(), granted bool, err error) {
 	owner, ok := s.ownerOf(time.Now(), u.Hash, slotCall)
 	if !ok {
