--- a/jackdawd/internal/admission/hostload.go
+++ b/jackdawd/internal/admission/hostload.go
@@ -28,14 +28,15 @@
 type HostShare struct {
 	Own    float64
 	Others float64
+	// OthersSeen is set if others had any a moment ago, which shows that they are up.
+	OthersSeen bool
 	// Hosts is the number of hosts of the fleet.
 	Hosts int
 }
 
-// IsSkewed reports whether the host has far more requests than the others. If these have none at all,
-// nothing shows that they are up.
+// IsSkewed reports whether the host has far more requests than others that are up.
 func (s HostShare) IsSkewed() bool {
-	return s.Others > 0 && s.Own*float64(s.Hosts) > minSkewRatio*(s.Own+s.Others)
+	return s.OthersSeen && s.Hosts > 1 && s.Own*float64(s.Hosts) > minSkewRatio*(s.Own+s.Others)
 }
 
 // ConnectionRefusalRatio returns the ratio of its new connections that a host must close unread because
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -135,12 +135,14 @@
 	// quarantine records which requests crash upstreams.
 	quarantine *quarantine.Registry
 	// history holds which software versions the upstreams have had.
-	history         *resumption.History
-	loads           *placement.Loads
-	balancer        *placement.Balancer
-	coldLimiter     *placement.ColdLimiter
-	handler         *relay.Handler
-	conns           *callerConns
+	history     *resumption.History
+	loads       *placement.Loads
+	balancer    *placement.Balancer
+	coldLimiter *placement.ColdLimiter
+	handler     *relay.Handler
+	conns       *callerConns
+	// othersSeenAt is when other hosts last had requests while this one was busy, in Unix nanoseconds.
+	othersSeenAt    atomic.Int64
 	callerServer    *khttp.Server
 	readinessServer *khttp.Server
 	adminServer     *khttp.Server
@@ -242,6 +244,10 @@
 	return byPool
 }
 
+// othersSeenTTL is how long after other hosts had requests they count as up. Hosts that get few callers
+// have none at most moments.
+const othersSeenTTL = 3 * time.Second
+
 // refusesConnection reports whether a new connection of a caller is closed unread, because this host has
 // more work than processor time and others have less.
 func (h *Host) refusesConnection() bool {
@@ -258,6 +264,10 @@
 		own, others := h.loads.Total(now, upstreams)
 		share.Own, share.Others = share.Own+own, share.Others+others
 	}
+	if share.Others > 0 {
+		h.othersSeenAt.Store(now.UnixNano())
+	}
+	share.OthersSeen = now.Sub(time.Unix(0, h.othersSeenAt.Load())) < othersSeenTTL
 	return rand.Float64() < admission.ConnectionRefusalRatio(delay, share)
 }
 
