--- a/jackdawd/internal/relay/crashing_part_test.go
+++ b/jackdawd/internal/relay/crashing_part_test.go
@@ -153,3 +153,24 @@
 		require.Zero(t, f.runCount("waiting"))
 	})
 }
+
+// Guards against a sound part that is refused because only streams in progress show that engines bear it.
+func TestLastingStreamClearsItsParts(t *testing.T) {
+	runFixture(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+		subjects := quarantine.PartSubjects("mailroom", []string{"sound"})
+		crash := func(n uint32) {
+			f.handler.Quarantine.RecordCrash(time.Now(), subjects, quarantine.CrashRecord{Start: n, Ran: 100 * time.Millisecond})
+			time.Sleep(300 * time.Millisecond)
+		}
+		for n := range uint32(3) {
+			crash(n)
+		}
+		var streams soundRequests
+		streams.send(f, "lasting", "sound", 200)
+		time.Sleep(700 * time.Millisecond)
+		crash(3)
+		time.Sleep(time.Second)
+		require.Equal(t, http.StatusOK, f.do(f.partRequest("after", "sound", 4)).status)
+		streams.callers.Wait()
+	})
+}
