--- /dev/null
+++ b/jackdawd/internal/relay/silence_test.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/common/traffic"
+	"jackdawhinge/platform/standin"
+)
+
+// silentStreamEvents is the number of events of the streams of upstreams that fall silent.
+const silentStreamEvents = 5
+
+// A silentUpstream falls silent for a time during its first request, and then goes on.
+type silentUpstream struct {
+	silence time.Duration
+	// eventsBefore is the number of events that it sends before.
+	eventsBefore int
+	// onSilence is called as the silence begins; nil for nothing to call.
+	onSilence func(u *standin.Runner)
+	begun     atomic.Bool
+}
+
+// behavior returns the behavior of a runner, of which the first one with a request is the silent upstream.
+func (s *silentUpstream) behavior(u *standin.Runner) standin.Behavior {
+	return func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+		if s.begun.Swap(true) {
+			return false
+		}
+		if s.eventsBefore > 0 {
+			u.SetResponseHeaders(w.Header(), u.RecordRun(r, body).ID)
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, eventRange(1, s.eventsBefore))
+			_ = http.NewResponseController(w).Flush()
+		}
+		if s.onSilence != nil {
+			s.onSilence(u)
+		}
+		select {
+		case <-time.After(s.silence):
+		case <-r.Context().Done():
+			return true
+		}
+		if s.eventsBefore == 0 {
+			return false
+		}
+		_, _ = io.WriteString(w, eventRange(s.eventsBefore+1, silentStreamEvents))
+		return true
+	}
+}
+
+// Guards against a host that ends the response of an upstream that is silent for a moment, although no other
+// upstream takes the request over.
+func TestSilentUpstreamIsNotLeftInVain(t *testing.T) {
+	spendBudget := func(f *fixture, _ *standin.Runner) {
+		for f.handler.RetryBudgets.TryWithdraw(time.Now(), "reader") || f.handler.RetryBudgets.TryWithdraw(time.Now(), "mailbox") {
+		}
+	}
+	pauseOthers := func(f *fixture, silent *standin.Runner) {
+		for _, u := range f.store.upstreams {
+			if f.runners[u.ID] != silent {
+				f.handler.Backoffs.Add(time.Now(), u.Instance(), time.Minute)
+			}
+		}
+	}
+	readers, mailboxes := []string{"reader-1", "reader-2"}, []string{"mailbox-1", "mailbox-2"}
+	for name, test := range map[string]struct {
+		path         string
+		runners      []string
+		silence      time.Duration
+		eventsBefore int
+		onSilence    func(f *fixture, silent *standin.Runner)
+		oneVersion   bool
+	}{
+		"stream, no retries left":              {"/digest/x", readers, 1500 * time.Millisecond, 2, spendBudget, true},
+		"stream, no other upstream":            {"/digest/x", readers[:1], 1500 * time.Millisecond, 2, nil, true},
+		"stream, others want no requests":      {"/digest/x", readers, 1500 * time.Millisecond, 2, pauseOthers, true},
+		"stream, others of other software":     {"/digest/x", readers, 1500 * time.Millisecond, 2, nil, false},
+		"first event, no retries left":         {"/digest/x", readers, 1900 * time.Millisecond, 0, spendBudget, true},
+		"first event, no other upstream":       {"/digest/x", readers[:1], 1900 * time.Millisecond, 0, nil, true},
+		"first event, others want no requests": {"/digest/x", readers, 1900 * time.Millisecond, 0, pauseOthers, true},
+		"response, no retries left":            {"/scan/x", mailboxes, 1500 * time.Millisecond, 0, spendBudget, true},
+		"response, no other upstream":          {"/scan/x", mailboxes[:1], 1500 * time.Millisecond, 0, nil, true},
+		"response, others want no requests":    {"/scan/x", mailboxes, 1500 * time.Millisecond, 0, pauseOthers, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFixture(t, test.runners, func(t *testing.T, f *fixture) {
+				silent := &silentUpstream{silence: test.silence, eventsBefore: test.eventsBefore}
+				if test.onSilence != nil {
+					silent.onSilence = func(u *standin.Runner) { test.onSilence(f, u) }
+				}
+				f.setBehaviors(silent.behavior)
+				if !test.oneVersion {
+					f.store.updateUpstreams(func(u *traffic.Upstream) { u.SoftwareVersion = "v" + u.ID })
+				}
+				req, want := f.request(http.MethodGet, test.path, "r1", ""), "mailbox"
+				if test.path == "/digest/x" {
+					req, want = f.streamRequest(test.path, "r1", silentStreamEvents), eventRange(1, silentStreamEvents)
+				}
+				got := f.do(req)
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusOK, got.status, got.body)
+				require.Contains(t, got.body, want)
+				require.Equal(t, 1, f.runCount("r1"))
+			})
+		})
+	}
+}
