--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -76,6 +76,8 @@
 	software traffic.Software
 	// current is the upstream of the latest attempt.
 	current *traffic.Upstream
+	// successor takes the request over from the current upstream, with a retry taken from the budget; nil for none.
+	successor *candidate
 	// attempted holds the upstreams that were sent the request or could not be reached.
 	attempted []traffic.UpstreamInstance
 	// attemptStartedAt is when the latest attempt started, connectTime how long it took to get a
@@ -182,7 +184,7 @@
 	}
 	var last result
 	for range maxAttempts {
-		upstream := j.place()
+		upstream := j.nextUpstream()
 		if upstream == nil {
 			break
 		}
@@ -239,15 +241,15 @@
 	switch {
 	case quarantined:
 		return reasonQuarantined
-	case r.verdict == unsent:
-		// No upstream has received the request, so that a retry adds no load.
+	case r.verdict == unsent, j.successor != nil:
+		// No upstream has received the request, so that a retry adds no load, or the retry is taken already.
 		return ""
 	case r.verdict != replaced && j.sentCount >= j.route.MaxUpstreams:
 		return "upstreams-bounded"
 	case !safe:
 		return "may-have-run"
 	case !j.RetryBudgets.TryWithdraw(time.Now(), j.pool.Name):
-		return "budget-spent"
+		return reasonBudgetSpent
 	}
 	return ""
 }
@@ -346,7 +348,7 @@
 		MaxConnections: j.pool.MaxConnections / hostConnectionDivisor,
 		HeaderTimeout:  j.firstByteTimeout(j.sentCount + 1),
 		OnConnected:    func(through string) { j.recordConnected(u, through) },
-		AbortOnTimeout: func() bool { return !j.isFull(u) },
+		AbortOnTimeout: func() bool { return !j.isFull(u) && j.findSuccessor() },
 	}
 	if !j.route.Repeatable() {
 		req.MaxIdleTime = maxIdleNonRepeatable
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -19,52 +19,80 @@
 	reasonCold = "upstreams-cold"
 	// reasonNoSoftware is the reason if no upstream has the software version that began the stream.
 	reasonNoSoftware = "no-upstream-of-version"
+	// reasonNoUpstream is the reason if no upstream takes requests.
+	reasonNoUpstream = "no-upstream"
 	// reasonBrittle is the reason if all upstreams of a request are brittle and this host uses its
 	// share of each.
 	reasonBrittle = "upstreams-brittle"
 )
 
-// place selects an upstream that was not tried yet. It returns nil if there is none or the request
-// would start too late there.
-func (j *job) place() *traffic.Upstream {
+// A candidate is the upstream that a request would be sent to, with the inputs of its choice.
+type candidate struct {
+	// upstream is nil if none may get the request.
+	upstream    *traffic.Upstream
+	choice      placement.Choice
+	temperature placement.Temperature
+	left        leftOut
+	// avoided is set if all upstreams are avoided for recent failures.
+	avoided bool
+	step    Step
+}
+
+// findCandidate finds an upstream that was not tried yet.
+func (j *job) findCandidate() candidate {
 	// Upstreams may have left while the request was tried elsewhere.
 	j.snapshot = j.Membership.Snapshot()
 	eligible, avoided, left := j.candidates()
-	avoidedCount := len(avoided)
-	if len(eligible) == 0 {
+	c := candidate{left: left, avoided: len(eligible) == 0}
+	if c.avoided {
 		eligible = avoided
 	}
-	step := Step{Candidates: len(eligible), Avoided: avoidedCount, Cacheable: j.cacheable, Evacuated: j.snapshot.EvacuatedCount(j.pool.Name)}
+	c.step = Step{Candidates: len(eligible), Avoided: len(avoided), Cacheable: j.cacheable, Evacuated: j.snapshot.EvacuatedCount(j.pool.Name)}
 	j.setPrecedence()
 	if j.pooled.Known {
 		j.meanBacklog = j.Loads.MeanBacklog(time.Now(), eligible, j.Admission.ServiceTime(j.pool.Name))
 	}
-	choice, temperature := j.choice(eligible), j.temperature(eligible)
-	choice.IdleRatio = temperature.IdleRatio(step.Evacuated)
-	upstream := j.choose(&choice, temperature)
-	if upstream == nil {
-		step.Decision, step.Reason = Stopped, j.refuseWithoutUpstream(temperature, left)
-		j.addStep(step)
+	c.choice, c.temperature = j.choice(eligible), j.temperature(eligible)
+	c.choice.IdleRatio = c.temperature.IdleRatio(c.step.Evacuated)
+	c.upstream = j.choose(&c.choice, c.temperature)
+	if c.upstream == nil {
+		return c
+	}
+	j.delay = j.expectedDelay(c.upstream)
+	c.step.Cold = c.temperature.Cold != nil && !j.snapshot.ColdUntil(c.upstream.ID).IsZero()
+	c.step.Upstream, c.step.SoftwareVersion, c.step.Mean, c.step.Limit = c.upstream.ID, c.upstream.SoftwareVersion, c.choice.Mean(), c.choice.Limit()
+	c.step.Load = j.Loads.Load(time.Now(), c.upstream)
+	c.step.PlanAge, c.step.HasPlan = c.choice.Plan.Age(time.Now())
+	c.step.Delay, c.step.MaxDelay = j.delay, c.choice.MaxDelay
+	return c
+}
+
+// place selects an upstream that was not tried yet. It returns nil if there is none or the request
+// would start too late there.
+func (j *job) place() *traffic.Upstream {
+	c := j.findCandidate()
+	if c.upstream == nil {
+		c.step.Decision, c.step.Reason = Stopped, j.refuseWithoutUpstream(c.temperature, c.left)
+		j.addStep(c.step)
 		return nil
 	}
-	step.Cold = temperature.Cold != nil && !j.snapshot.ColdUntil(upstream.ID).IsZero()
-	j.delay = j.expectedDelay(upstream)
-	step.Upstream, step.SoftwareVersion, step.Mean, step.Limit = upstream.ID, upstream.SoftwareVersion, choice.Mean(), choice.Limit()
-	step.Load = j.Loads.Load(time.Now(), upstream)
-	step.PlanAge, step.HasPlan = choice.Plan.Age(time.Now())
-	step.Delay, step.MaxDelay = j.delay, choice.MaxDelay
-	if j.wouldStartTooLate(upstream, choice.MaxDelay) {
-		j.placementRefusal = j.refuseOverload(upstream, j.delay)
-		step.Decision, step.Reason = Stopped, reasonTooLate
-		j.addStep(step)
+	if j.wouldStartTooLate(c.upstream, c.choice.MaxDelay) {
+		j.placementRefusal = j.refuseOverload(c.upstream, j.delay)
+		c.step.Decision, c.step.Reason = Stopped, reasonTooLate
+		j.addStep(c.step)
 		return nil
 	}
-	if j.fetchFrom = j.cacheSource(upstream); j.fetchFrom != nil {
-		step.FetchFrom = j.fetchFrom.ID
+	j.placeAt(c)
+	return c.upstream
+}
+
+// placeAt records that the next attempt is at a candidate.
+func (j *job) placeAt(c candidate) {
+	if j.fetchFrom = j.cacheSource(c.upstream); j.fetchFrom != nil {
+		c.step.FetchFrom = j.fetchFrom.ID
 	}
-	step.Decision = Placed
-	j.addStep(step)
-	return upstream
+	c.step.Decision = Placed
+	j.addStep(c.step)
 }
 
 // temperature tells warm and cold upstreams apart. Upstreams that bear as much while they are cold
@@ -130,7 +158,7 @@
 		j.placementRefusal = work.NewRefusal(http.StatusServiceUnavailable, work.Overloaded, "the upstreams want no requests for now").WithRetryAfter(left.backoff)
 		return reasonBackoff
 	}
-	return "no-upstream"
+	return reasonNoUpstream
 }
 
 // choice returns the inputs for the selection of an upstream.
--- a/jackdawd/internal/relay/record.go
+++ b/jackdawd/internal/relay/record.go
@@ -26,6 +26,8 @@
 	Resumed Decision = "resumed"
 	// OriginFound: a request resumes an earlier stream, and its software version was looked up.
 	OriginFound Decision = "origin-found"
+	// Kept: the upstream is silent, and no other takes the request over.
+	Kept Decision = "kept"
 	// Stopped: no other upstream is tried.
 	Stopped Decision = "stopped"
 )
--- /dev/null
+++ b/jackdawd/internal/relay/successor.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"time"
+
+	"jackdawhinge/common/traffic"
+)
+
+const (
+	// reasonFull is the reason if the upstream that would take a request over is full.
+	reasonFull = "upstreams-full"
+	// reasonAvoided is the reason if all upstreams that could take a request over are avoided for recent failures.
+	reasonAvoided = "upstreams-avoided"
+	// reasonBudgetSpent is the reason if the budget allows no retry.
+	reasonBudgetSpent = "budget-spent"
+)
+
+// nextUpstream returns the upstream of the next attempt, or nil if there is none.
+func (j *job) nextUpstream() *traffic.Upstream {
+	successor := j.successor
+	if successor == nil {
+		return j.place()
+	}
+	j.successor = nil
+	j.placeAt(*successor)
+	return successor.upstream
+}
+
+// findSuccessor reports whether another upstream is to take the request over from the current one, which is silent.
+// A sound upstream may be silent for a moment, so that the response is only given up for one that is likely to
+// continue it.
+func (j *job) findSuccessor() bool {
+	c := j.findCandidate()
+	reason := j.successorDenial(c)
+	if reason == "" {
+		j.successor = &c
+		return true
+	}
+	j.addStep(Step{Decision: Kept, Upstream: j.current.ID, Candidates: c.step.Candidates, Avoided: c.step.Avoided, Reason: reason})
+	return false
+}
+
+// successorDenial returns the reason why a candidate does not take the request over, or "" if it does. It then takes
+// a retry from the budget.
+func (j *job) successorDenial(c candidate) string {
+	_, quarantined := j.findQuarantined()
+	switch {
+	case quarantined:
+		return reasonQuarantined
+	case c.upstream == nil:
+		return reasonNoUpstream
+	case c.avoided:
+		return reasonAvoided
+	case j.isFull(c.upstream) || j.wouldStartTooLate(c.upstream, c.choice.MaxDelay):
+		return reasonFull
+	case !j.RetryBudgets.TryWithdraw(time.Now(), j.pool.Name):
+		return reasonBudgetSpent
+	}
+	return ""
+}
--- a/jackdawd/internal/requestlog/writer.go
+++ b/jackdawd/internal/requestlog/writer.go
@@ -140,6 +140,8 @@
 		fields["asked"], fields["answered"] = step.Origin.Asked, step.Origin.Answered
 	case relay.Resumed:
 		fields["resume-after"] = step.ResumeAfter
+	case relay.Kept:
+		fields["reason"], fields["candidates"], fields["avoided"] = step.Reason, step.Candidates, step.Avoided
 	case relay.Stopped:
 		fields["reason"] = step.Reason
 		addEvacuated(fields, step)
@@ -178,6 +180,7 @@
 	relay.Retried:     "relay: Retrying at another upstream.",
 	relay.Resumed:     "relay: Resuming the stream at another upstream.",
 	relay.OriginFound: "relay: Looked up which software version began the stream.",
+	relay.Kept:        "relay: Waiting on for a silent upstream.",
 	relay.Stopped:     "relay: Not retrying.",
 }
 
@@ -232,6 +235,8 @@
 			w.meter.Count("stream_origins", "known_from", string(step.Origin.Source))
 		case relay.Retried, relay.Resumed:
 			w.meter.Count("request_retries", "decision", string(step.Decision))
+		case relay.Kept:
+			w.meter.Count("silent_upstreams_kept", "reason", step.Reason)
 		case relay.Stopped:
 			w.meter.Count("retries_denied", "reason", step.Reason)
 			if reason, ok := step.PoolRefusal(); ok {
