--- a/jackdawd/internal/entry/callerconns.go
+++ b/jackdawd/internal/entry/callerconns.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jackdawhinge/jackdawd/internal/admission"
 )
 
@@ -20,6 +22,15 @@
 	callerSocketRatio = 0.75
 )
 
+// A closeReason is why the host closes an idle connection.
+type closeReason string
+
+// The reasons.
+const (
+	closedForIdleTimeout closeReason = "idle-timeout"
+	closedForLimit       closeReason = "limit"
+)
+
 // maxCallerConns returns the maximum number of callers' connections for a maximum number of
 // sockets.
 func maxCallerConns(sockets int) int { return int(callerSocketRatio * float64(sockets)) }
@@ -35,6 +46,13 @@
 	// maps each to its list element.
 	idle     *list.List
 	elements map[net.Conn]*list.Element
+	// idleTimeout returns the configured idle timeout.
+	idleTimeout func() time.Duration
+	// closed counts the idle connections that were closed, by reason.
+	closed map[closeReason]int64
+	// loggedClosed is closed as of the last log line, longestIdle the longest idle time since then.
+	loggedClosed map[closeReason]int64
+	longestIdle  time.Duration
 	// refuse reports whether a new connection is closed before anything is read from it; nil means never.
 	refuse  func() bool
 	refused int64
@@ -50,8 +68,11 @@
 
 // newCallerConns returns a callerConns that limits the number of open connections to maxOpen and closes
 // new ones that refuse refuses.
-func newCallerConns(maxOpen int, refuse func() bool) *callerConns {
-	return &callerConns{maxOpen: maxOpen, refuse: refuse, idle: list.New(), elements: map[net.Conn]*list.Element{}}
+func newCallerConns(maxOpen int, idleTimeout func() time.Duration, refuse func() bool) *callerConns {
+	return &callerConns{
+		maxOpen: maxOpen, idleTimeout: idleTimeout, refuse: refuse, idle: list.New(), elements: map[net.Conn]*list.Element{},
+		closed: map[closeReason]int64{}, loggedClosed: map[closeReason]int64{},
+	}
 }
 
 // count returns the number of open connections.
@@ -68,6 +89,17 @@
 	return c.refused
 }
 
+// closedCounts returns how many idle connections were closed, by reason.
+func (c *callerConns) closedCounts() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := map[string]int64{}
+	for _, reason := range []closeReason{closedForIdleTimeout, closedForLimit} {
+		counts[string(reason)] = c.closed[reason]
+	}
+	return counts
+}
+
 // setState records a connection's new state; it is the server's ConnState callback. A new
 // connection beyond maxOpen closes the one idle for longest, if any is idle.
 func (c *callerConns) setState(conn net.Conn, state http.ConnState) {
@@ -90,7 +122,7 @@
 			return
 		}
 		if oldest := c.idle.Front(); oldest != nil && c.open > c.maxOpen {
-			c.close(oldest.Value.(idleConn))
+			c.close(oldest.Value.(idleConn), time.Now(), closedForLimit)
 		}
 		c.elements[conn] = c.idle.PushBack(idleConn{conn, time.Now()})
 	case http.StateIdle:
@@ -109,15 +141,18 @@
 }
 
 // close closes an idle connection; the lock must be held.
-func (c *callerConns) close(conn idleConn) {
+func (c *callerConns) close(conn idleConn, now time.Time, reason closeReason) {
 	// The connection is dropped, so an error changes nothing.
 	_ = conn.Close()
 	c.remove(conn.Conn)
+	c.closed[reason]++
+	c.longestIdle = max(c.longestIdle, now.Sub(conn.since))
 }
 
 // closeExpired closes the connections that were idle for longer than the timeout plus
 // idleTimeoutMargin.
-func (c *callerConns) closeExpired(now time.Time, timeout time.Duration) {
+func (c *callerConns) closeExpired(now time.Time) {
+	timeout := c.idleTimeout()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for e := c.idle.Front(); e != nil; e = c.idle.Front() {
@@ -125,6 +160,22 @@
 		if now.Sub(conn.since) <= timeout+idleTimeoutMargin {
 			return
 		}
-		c.close(conn)
+		c.close(conn, now, closedForIdleTimeout)
+	}
+}
+
+// logClosed logs how many idle connections were closed since the last call, if any.
+func (c *callerConns) logClosed() {
+	c.mu.Lock()
+	counts, longestIdle := map[closeReason]int64{}, c.longestIdle
+	for reason, total := range c.closed {
+		if count := total - c.loggedClosed[reason]; count > 0 {
+			counts[reason], c.loggedClosed[reason] = count, total
+		}
+	}
+	c.longestIdle = 0
+	c.mu.Unlock()
+	if len(counts) > 0 {
+		logrus.WithFields(logrus.Fields{"closed": counts, "longest-idle": longestIdle.String(), "timeout": c.idleTimeout().String()}).Info("entry: Closed idle connections of callers.")
 	}
 }
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -169,7 +169,7 @@
 		o.Uptime = uptime
 	}
 	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), history: resumption.NewHistory(time.Now(), o.FirstStart), paths: transit.NewPaths(), poolAdmission: overload.NewController(), serverErr: make(chan error, 1)}
-	h.conns = newCallerConns(maxCallerConns(o.MaxSockets), h.refusesConnection)
+	h.conns = newCallerConns(maxCallerConns(o.MaxSockets), h.idleTimeout, h.refusesConnection)
 	h.bounds.Store(&o.Bounds)
 	if o.MaxReadAheadBytes > 0 {
 		h.readAhead = readahead.NewBudget(o.MaxReadAheadBytes)
@@ -213,7 +213,8 @@
 			case <-ctx.Done():
 				return
 			case now := <-ticker.C:
-				h.conns.closeExpired(now, h.idleTimeout())
+				h.conns.closeExpired(now)
+				h.conns.logClosed()
 				h.loads.RemoveUnused(now)
 				h.coldLimiter.RemoveUnused(now)
 				h.paths.RemoveUnused(now)
