--- /dev/null
+++ b/jackdawd/internal/entry/callerconn_test.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/standin/network"
+)
+
+const (
+	testCallerAddress = "10.0.0.1:80"
+	// testIdleTimeout is so short that a new connection exceeds it before headerTimeout.
+	testIdleTimeout = 5 * time.Second
+)
+
+// callerServerFixture is a callers' server over connections in memory, without housekeeping.
+type callerServerFixture struct {
+	t           *testing.T
+	net         *network.Network
+	conns       *callerConns
+	idleTimeout atomic.Int64
+	// handled counts the requests that reached the handler.
+	handled atomic.Int64
+	// onRead runs once, after bytes were received and before the server has them; onDeadline runs once, the
+	// next time that a read deadline is set after that.
+	onRead, onDeadline func()
+}
+
+// runCallerServer runs a test with a callers' server that has a maximum number of connections.
+func runCallerServer(t *testing.T, maxOpen int, test func(t *testing.T, f *callerServerFixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &callerServerFixture{t: t, net: network.New()}
+		f.idleTimeout.Store(int64(testIdleTimeout))
+		f.conns = newCallerConns(maxOpen, func() time.Duration { return time.Duration(f.idleTimeout.Load()) }, nil)
+		server := newCallerServer(testCallerAddress, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { f.handled.Add(1) }), f.conns)
+		listener := f.net.Listen(testCallerAddress)
+		go func() { _ = server.Serve(hookedListener{listener, f}) }()
+		defer func() {
+			f.net.Kill(testCallerAddress)
+			require.NoError(t, server.Close())
+		}()
+		test(t, f)
+	})
+}
+
+type hookedListener struct {
+	net.Listener
+	f *callerServerFixture
+}
+
+// Accept returns a connection that runs the hooks of a test.
+func (l hookedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &hookedConn{Conn: conn, f: l.f}, err
+}
+
+type hookedConn struct {
+	net.Conn
+	f *callerServerFixture
+	// hasRead is set once onRead has run.
+	hasRead bool
+}
+
+// Read runs onRead if it received bytes.
+func (c *hookedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if hook := c.f.onRead; hook != nil && n > 0 {
+		c.f.onRead, c.hasRead = nil, true
+		hook()
+	}
+	return n, err
+}
+
+// SetReadDeadline runs onDeadline if onRead has run.
+func (c *hookedConn) SetReadDeadline(deadline time.Time) error {
+	if hook := c.f.onDeadline; hook != nil && c.hasRead {
+		c.f.onDeadline = nil
+		hook()
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+func (f *callerServerFixture) dial() net.Conn {
+	conn, err := f.net.Dial(f.t.Context(), "tcp", testCallerAddress)
+	require.NoError(f.t, err)
+	synctest.Wait()
+	return conn
+}
+
+// isAnswered sends a request or the rest of one and reports whether its caller gets a response.
+func (f *callerServerFixture) isAnswered(conn net.Conn, request string) bool {
+	if _, err := io.WriteString(conn, request); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return false
+	}
+	require.Equal(f.t, http.StatusOK, resp.StatusCode)
+	synctest.Wait()
+	return true
+}
+
+const testRequest = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+// closeIdle are the events by which the host closes an idle connection, at a limit of one connection.
+var closeIdle = map[string]func(f *callerServerFixture){
+	"idle timeout": func(f *callerServerFixture) { f.conns.closeExpired(time.Now()) },
+	"limit": func(f *callerServerFixture) {
+		conn, _ := net.Pipe()
+		f.conns.setState(conn, http.StateNew)
+	},
+}
+
+// Guards against connections closed under a request whose head arrives in two pieces.
+func TestArrivingHeadIsAnswered(t *testing.T) {
+	for name, closeIdle := range closeIdle {
+		for use, isKept := range map[string]bool{"new connection": false, "kept connection": true} {
+			t.Run(name+", "+use, func(t *testing.T) {
+				runCallerServer(t, 1, func(t *testing.T, f *callerServerFixture) {
+					conn := f.dial()
+					if isKept {
+						require.True(t, f.isAnswered(conn, testRequest))
+					}
+					time.Sleep(testIdleTimeout + 2*idleTimeoutMargin)
+					_, err := io.WriteString(conn, testRequest[:1])
+					require.NoError(t, err)
+					synctest.Wait()
+					closeIdle(f)
+					require.True(t, f.isAnswered(conn, testRequest[1:]))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a request that is lost or runs for nobody as its connection is closed at the same time.
+func TestRequestDuringCloseIsAnsweredOrNotHandled(t *testing.T) {
+	for name, closeIdle := range closeIdle {
+		t.Run(name+", before the server has the request", func(t *testing.T) {
+			runCallerServer(t, 1, func(t *testing.T, f *callerServerFixture) {
+				conn := f.dial()
+				time.Sleep(testIdleTimeout + 2*idleTimeoutMargin)
+				f.onRead = func() { closeIdle(f) }
+				require.False(t, f.isAnswered(conn, testRequest))
+				synctest.Wait()
+				require.Zero(t, f.handled.Load())
+			})
+		})
+		t.Run(name+", while the server reads the request", func(t *testing.T) {
+			runCallerServer(t, 1, func(t *testing.T, f *callerServerFixture) {
+				conn := f.dial()
+				time.Sleep(testIdleTimeout + 2*idleTimeoutMargin)
+				f.onRead, f.onDeadline = func() {}, func() { closeIdle(f) }
+				require.True(t, f.isAnswered(conn, testRequest))
+				require.Nil(t, f.onDeadline, "the event must have come")
+			})
+		})
+	}
+}
+
+// Guards against requests lost as a configuration lowers the idle timeout that callers relied on.
+func TestChangedIdleTimeout(t *testing.T) {
+	for name, test := range map[string]struct {
+		before, after, idle time.Duration
+		// isOpen and isLaterOpen are set if connections that are idle since before and after the change stay
+		// open.
+		isOpen, isLaterOpen bool
+	}{
+		"lowered":                  {15 * time.Second, 2 * time.Second, 12 * time.Second, true, false},
+		"lowered, idle too long":   {15 * time.Second, 2 * time.Second, 18 * time.Second, false, false},
+		"raised":                   {2 * time.Second, 15 * time.Second, 12 * time.Second, true, true},
+		"unchanged":                {15 * time.Second, 15 * time.Second, 12 * time.Second, true, true},
+		"unchanged, idle too long": {2 * time.Second, 2 * time.Second, 5 * time.Second, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runCallerServer(t, 10, func(t *testing.T, f *callerServerFixture) {
+				conn, later := f.dial(), f.dial()
+				f.idleTimeout.Store(int64(test.before))
+				require.True(t, f.isAnswered(conn, testRequest))
+				f.idleTimeout.Store(int64(test.after))
+				require.True(t, f.isAnswered(later, testRequest))
+				for range test.idle / housekeepingInterval {
+					time.Sleep(housekeepingInterval)
+					f.conns.closeExpired(time.Now())
+				}
+				require.Equal(t, test.isOpen, f.isAnswered(conn, testRequest))
+				require.Equal(t, test.isLaterOpen, f.isAnswered(later, testRequest))
+			})
+		})
+	}
+}
+
+// Guards against connections closed under a request that a busy host has not read yet.
+func TestUnreadRequestKeepsConnectionOpen(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent   string
+		isOpen bool
+	}{"nothing sent": {"", false}, "part of a request": {testRequest[:1], true}} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			client, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			_, err = io.WriteString(client, test.sent)
+			require.NoError(t, err)
+			conn, err := listener.Accept()
+			require.NoError(t, err)
+			conns := newCallerConns(1, func() time.Duration { return testIdleTimeout }, nil)
+			conns.setState(conn, http.StateNew)
+			conns.closeExpired(time.Now().Add(time.Hour))
+			require.Equal(t, test.isOpen, conn.SetDeadline(time.Now()) == nil)
+			require.NoError(t, client.Close())
+			require.NoError(t, listener.Close())
+		})
+	}
+}
