--- a/jackdawd/internal/entry/callerconns.go
+++ b/jackdawd/internal/entry/callerconns.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,11 +46,15 @@
 	// idle lists the connections without a request, the one idle for longest first; elements
 	// maps each to its list element.
 	idle     *list.List
-	elements map[net.Conn]*list.Element
+	elements map[*callerConn]*list.Element
 	// idleTimeout returns the configured idle timeout.
 	idleTimeout func() time.Duration
 	// closed counts the idle connections that were closed, by reason.
 	closed map[closeReason]int64
+	// kept counts the idle connections that were not closed because bytes of a request had arrived,
+	// discarded the requests that came too late for that.
+	kept      int64
+	discarded atomic.Int64
 	// loggedClosed is closed as of the last log line, longestIdle the longest idle time since then.
 	loggedClosed map[closeReason]int64
 	longestIdle  time.Duration
@@ -60,21 +65,31 @@
 	recentlyRefused admission.RecentCount
 }
 
-// idleConn is an idle connection and the time since which it has been idle.
+// idleConn is an idle connection, the time since which it has been idle, and the idle timeout at that
+// time, which its caller may rely on after the configuration has lowered it.
 type idleConn struct {
-	net.Conn
-	since time.Time
+	*callerConn
+	since   time.Time
+	timeout time.Duration
 }
 
 // newCallerConns returns a callerConns that limits the number of open connections to maxOpen and closes
 // new ones that refuse refuses.
 func newCallerConns(maxOpen int, idleTimeout func() time.Duration, refuse func() bool) *callerConns {
 	return &callerConns{
-		maxOpen: maxOpen, idleTimeout: idleTimeout, refuse: refuse, idle: list.New(), elements: map[net.Conn]*list.Element{},
+		maxOpen: maxOpen, idleTimeout: idleTimeout, refuse: refuse, idle: list.New(), elements: map[*callerConn]*list.Element{},
 		closed: map[closeReason]int64{}, loggedClosed: map[closeReason]int64{},
 	}
 }
 
+// listen returns a listener for the callers' server.
+func (c *callerConns) listen(l net.Listener) net.Listener { return callerListener{l, c} }
+
+// newConn returns an accepted connection with its state.
+func (c *callerConns) newConn(conn net.Conn) *callerConn {
+	return &callerConn{Conn: conn, discarded: &c.discarded}
+}
+
 // count returns the number of open connections.
 func (c *callerConns) count() int64 {
 	c.mu.Lock()
@@ -100,9 +115,17 @@
 	return counts
 }
 
+// keptCount returns how many idle connections were not closed because bytes of a request had arrived.
+func (c *callerConns) keptCount() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.kept
+}
+
 // setState records a connection's new state; it is the server's ConnState callback. A new
 // connection beyond maxOpen closes the one idle for longest, if any is idle.
-func (c *callerConns) setState(conn net.Conn, state http.ConnState) {
+func (c *callerConns) setState(tracked net.Conn, state http.ConnState) {
+	conn := tracked.(*callerConn)
 	// The decision needs no lock, and takes its time at a host with many upstreams.
 	refused := state == http.StateNew && c.refuse != nil && c.refuse()
 	if refused {
@@ -110,6 +133,7 @@
 		// has not run.
 		_ = conn.Close()
 	}
+	timeout := c.idleTimeout()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.remove(conn)
@@ -121,46 +145,72 @@
 			c.recentlyRefused.Add(time.Now())
 			return
 		}
-		if oldest := c.idle.Front(); oldest != nil && c.open > c.maxOpen {
-			c.close(oldest.Value.(idleConn), time.Now(), closedForLimit)
+		if c.open > c.maxOpen {
+			c.closeLongestIdle()
 		}
-		c.elements[conn] = c.idle.PushBack(idleConn{conn, time.Now()})
+		c.elements[conn] = c.idle.PushBack(idleConn{conn, time.Now(), timeout})
+	case http.StateActive:
+		// The head of a pipelined request was read before the connection became idle. If the host has closed the
+		// connection since then, the relay handles the caller as disconnected.
+		conn.begin()
 	case http.StateIdle:
-		c.elements[conn] = c.idle.PushBack(idleConn{conn, time.Now()})
+		if conn.end() {
+			c.elements[conn] = c.idle.PushBack(idleConn{conn, time.Now(), timeout})
+		}
 	case http.StateClosed, http.StateHijacked:
 		c.open--
 	}
 }
 
 // remove removes a connection from the idle list; the lock must be held.
-func (c *callerConns) remove(conn net.Conn) {
+func (c *callerConns) remove(conn *callerConn) {
 	if e, ok := c.elements[conn]; ok {
 		c.idle.Remove(e)
 		delete(c.elements, conn)
 	}
 }
 
-// close closes an idle connection; the lock must be held.
-func (c *callerConns) close(conn idleConn, now time.Time, reason closeReason) {
-	// The connection is dropped, so an error changes nothing.
-	_ = conn.Close()
-	c.remove(conn.Conn)
+// closeLongestIdle closes the connection that has been idle for longest, if any is idle; the lock must be
+// held.
+func (c *callerConns) closeLongestIdle() {
+	now := time.Now()
+	for e := c.idle.Front(); e != nil; e = c.idle.Front() {
+		if c.close(e.Value.(idleConn), now, closedForLimit) {
+			return
+		}
+	}
+}
+
+// close removes a connection from the idle list and closes it unless bytes of a request have arrived; it
+// reports whether it did. The lock must be held.
+func (c *callerConns) close(conn idleConn, now time.Time, reason closeReason) bool {
+	c.remove(conn.callerConn)
+	if !conn.closeIdle() {
+		c.kept++
+		return false
+	}
 	c.closed[reason]++
 	c.longestIdle = max(c.longestIdle, now.Sub(conn.since))
+	return true
 }
 
-// closeExpired closes the connections that were idle for longer than the timeout plus
-// idleTimeoutMargin.
+// closeExpired closes the connections that were idle for longer than idleTimeoutMargin plus the longer of
+// the current idle timeout and the one in force when they became idle.
 func (c *callerConns) closeExpired(now time.Time) {
 	timeout := c.idleTimeout()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for e := c.idle.Front(); e != nil; e = c.idle.Front() {
+	for e := c.idle.Front(); e != nil; {
 		conn := e.Value.(idleConn)
-		if now.Sub(conn.since) <= timeout+idleTimeoutMargin {
+		idle := now.Sub(conn.since)
+		if idle <= timeout+idleTimeoutMargin {
+			// The connections that follow have been idle for less.
 			return
 		}
-		c.close(conn, now, closedForIdleTimeout)
+		e = e.Next()
+		if idle > conn.timeout+idleTimeoutMargin {
+			c.close(conn, now, closedForIdleTimeout)
+		}
 	}
 }
 
--- a/jackdawd/internal/entry/gauges.go
+++ b/jackdawd/internal/entry/gauges.go
@@ -25,6 +25,8 @@
 	m.Gauge("caller_connections", h.conns.count)
 	m.Gauge("caller_connections_refused", h.conns.refusedCount)
 	m.GaugeFamily("caller_connections_closed", "reason", h.conns.closedCounts)
+	m.Gauge("caller_connections_kept", h.conns.keptCount)
+	m.Gauge("caller_requests_discarded", h.conns.discarded.Load)
 	m.Gauge("upstream_connections_opened", h.client.DialCount)
 	m.Gauge("configuration_age_milliseconds", func() int64 { return min(h.tracker.Age(), time.Hour).Milliseconds() })
 	m.Gauge("upstream_list_age_milliseconds", func() int64 { return min(h.source.ListAge(), time.Hour).Milliseconds() })
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -315,9 +315,13 @@
 	}
 }
 
+// newCallerServer returns a server for listeners of conns.
 func newCallerServer(address string, handler http.Handler, conns *callerConns) *khttp.Server {
 	server := newServer(address, handler)
-	server.ConnState, server.ConnContext = conns.setState, relay.WithConn
+	server.ConnState = conns.setState
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return relay.WithConn(ctx, conn.(*callerConn).Conn)
+	}
 	return server
 }
 
@@ -344,6 +348,11 @@
 
 // Start serves until the context ends or a server fails. It returns the error of that server.
 func (h *Host) Start(ctx context.Context) error {
+	listener, err := net.Listen("tcp", h.options.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	khttp.Listener(h.conns.listen(listener))(h.callerServer)
 	servers := []*khttp.Server{h.callerServer, h.readinessServer}
 	if h.adminServer != nil {
 		servers = append(servers, h.adminServer)
--- a/jackdawd/internal/relay/caller.go
+++ b/jackdawd/internal/relay/caller.go
@@ -26,17 +26,32 @@
 	if !ok {
 		return false
 	}
+	n, receiveErr, err := peek(c)
+	return err != nil || receiveErr == nil && n == 0 || errors.Is(receiveErr, unix.ECONNRESET)
+}
+
+// HasUnreadBytes reports whether a caller has sent bytes that the server has not read from a connection. It is
+// false for connections without a socket.
+func HasUnreadBytes(conn net.Conn) bool {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	n, receiveErr, err := peek(c)
+	return err == nil && receiveErr == nil && n > 0
+}
+
+// peek receives the next byte of a connection and leaves it to the server's reader, which may be waiting for
+// it. It returns the error of receiving, and the one of getting at the socket.
+func peek(c syscall.Conn) (n int, receiveErr, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return true
+		return 0, nil, err
 	}
-	closed := false
 	err = raw.Control(func(fd uintptr) {
-		// MSG_PEEK leaves the bytes to the server's reader, which may be waiting for them.
-		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
+		n, _, receiveErr = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return closed || err != nil
+	return n, receiveErr, err
 }
 
 // acknowledgedBytes returns how many bytes the kernel of the caller on the connection that a context carries has
