--- a/jackdawd/internal/exchange/client.go
+++ b/jackdawd/internal/exchange/client.go
@@ -60,8 +60,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// HeaderTimeout is the timeout for the header of the response; 0 means that only the context
-	// bounds it.
+	// HeaderTimeout is how long the upstream may be silent until the header of the response is complete; 0
+	// means that only the context bounds it.
 	HeaderTimeout time.Duration
 	// AbortOnTimeout is called each time the timeout for the header, or later the one for reads of the
 	// body, has passed without data, and reports whether to stop waiting; nil means always.
@@ -177,7 +177,8 @@
 		c.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), address: req.Address, upstream: req.Upstream}, nil
+	in := &input{conn: raw}
+	return &conn{Conn: raw, input: in, reader: bufio.NewReaderSize(in, readBufferSize), address: req.Address, upstream: req.Upstream}, nil
 }
 
 // reserve counts one connection more, or returns an error if the request's limit is reached.
@@ -233,6 +234,7 @@
 		c.discard(cn)
 		return
 	}
+	cn.input.reset()
 	cn.used, cn.idleSince, cn.maxIdle = true, time.Now(), maxIdle
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -287,6 +289,7 @@
 	// what tells it.
 	stopCancel := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	r := &Response{client: c, conn: cn, request: req, stopCancel: stopCancel}
+	cn.input.abort = req.AbortOnTimeout
 	encoded := encodeRequest(req)
 	if err := r.writeRequest(encoded); err != nil {
 		r.Close()
--- a/jackdawd/internal/exchange/conn.go
+++ b/jackdawd/internal/exchange/conn.go
@@ -25,7 +25,9 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
+	// reader buffers input.
 	reader  *bufio.Reader
+	input   *input
 	address string
 	// upstream is the instance of the upstream to which the connection was opened.
 	upstream traffic.UpstreamInstance
--- /dev/null
+++ b/jackdawd/internal/exchange/input.go
@@ -0,0 +1,55 @@
+package exchange
+
+import (
+	"errors"
+	"net"
+	"os"
+	"time"
+)
+
+// An input reads what an upstream sends on a connection, and limits its silence. Each read has its own deadline,
+// so that no time counts in which nothing is read. A read that has timed out has consumed nothing and can be
+// repeated, wherever in a response it is.
+type input struct {
+	conn net.Conn
+	// timeout is how long a read may take; 0 means that it is not bounded.
+	timeout time.Duration
+	// abort reports whether to stop reading after a timeout; nil means always.
+	abort func() bool
+	// hasDeadline is set while the connection has a read deadline.
+	hasDeadline bool
+	// timedOut is set once a read was given up.
+	timedOut bool
+}
+
+// Read reads from the connection. It returns os.ErrDeadlineExceeded if the upstream is silent for too long.
+func (i *input) Read(p []byte) (int, error) {
+	for {
+		i.setDeadline()
+		n, err := i.conn.Read(p)
+		switch {
+		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
+			return n, err
+		case i.abort == nil || i.abort():
+			i.timedOut = true
+			return 0, err
+		}
+	}
+}
+
+// setDeadline sets the deadline of the next read.
+func (i *input) setDeadline() {
+	deadline := time.Time{}
+	if i.timeout > 0 {
+		deadline = time.Now().Add(i.timeout)
+	}
+	if i.hasDeadline || i.timeout > 0 {
+		// Setting a deadline fails only on a closed connection. What arrived before is still valid, and
+		// reads return at once.
+		_ = i.conn.SetReadDeadline(deadline)
+	}
+	i.hasDeadline = i.timeout > 0
+}
+
+// reset prepares for the next request on the connection, which has no deadline.
+func (i *input) reset() { *i = input{conn: i.conn} }
--- a/jackdawd/internal/exchange/response.go
+++ b/jackdawd/internal/exchange/response.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"jackdawhinge/common/traffic"
@@ -23,7 +22,6 @@
 	// header.
 	bodyWritten chan struct{}
 	writeErr    error
-	readTimeout time.Duration
 	// complete is set once the whole body has been read.
 	complete bool
 }
@@ -45,12 +43,9 @@
 	return r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
 }
 
-// SetReadTimeout sets the timeout of each read of the body; 0 means that only the context bounds it.
-func (r *Response) SetReadTimeout(d time.Duration) { r.readTimeout = d }
-
-// RenewReadDeadline lets the timeout of the next read start now. A part of the response that has already arrived is
-// otherwise completed within the timeout of the previous read, which passes while nothing is read.
-func (r *Response) RenewReadDeadline() { r.setReadDeadline(r.readTimeout) }
+// SetReadTimeout sets how long the upstream may be silent while the body is read; 0 means that only the context
+// bounds it.
+func (r *Response) SetReadTimeout(d time.Duration) { r.conn.input.timeout = d }
 
 // Buffered reports whether more of the response has already arrived.
 func (r *Response) Buffered() bool { return r.conn.reader.Buffered() > 0 }
@@ -76,20 +71,17 @@
 }
 
 func (r *Response) readHead() error {
-	if err := r.awaitData(r.request.HeaderTimeout); err != nil {
-		r.reportTimeout(err)
-		return &InterruptedError{Cause: translateReadError(err)}
-	}
+	r.SetReadTimeout(r.request.HeaderTimeout)
 	for skipped := range maxStaleResponses + 1 {
 		resp, err := r.readResponse()
 		if err != nil {
-			return &InterruptedError{Cause: translateReadError(err)}
+			return r.interrupted(err)
 		}
 		r.resp, r.head = resp, r.client.parser.ParseResponse(resp.StatusCode, resp.Header)
 		rejectsUnnamed := r.head.ID == "" && r.head.NotExecuted
 		if r.head.ID == r.request.ID || (rejectsUnnamed && skipped == 0) {
 			// The header timeout must not cut off a long body.
-			r.setReadDeadline(0)
+			r.SetReadTimeout(0)
 			return nil
 		}
 		if !r.conn.used || rejectsUnnamed {
@@ -98,22 +90,23 @@
 		}
 		// This is a second response to an earlier request on the connection; skip it.
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBodyBytes)); err != nil {
-			return &InterruptedError{Cause: translateReadError(err)}
+			return r.interrupted(err)
 		}
 	}
 	return &MismatchError{Want: r.request.ID, Got: r.head.ID}
 }
 
-// reportTimeout records that the response did not come in time. Connections that were idle before may
-// be as dead as this one, and so may the host that it leads through.
-func (r *Response) reportTimeout(err error) {
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		return
+// interrupted returns the error of a response that could not be read, and reports a timeout. Connections that were
+// idle before may be as dead as this one, and so may the host that it leads through.
+func (r *Response) interrupted(err error) error {
+	if !r.conn.input.timedOut {
+		return &InterruptedError{Cause: translateReadError(err)}
 	}
 	r.client.DiscardIdle(r.request.Address)
 	if relayed, ok := r.conn.Conn.(relayedConn); ok {
 		relayed.ReportTimeout()
 	}
+	return &InterruptedError{Cause: ErrReadTimeout}
 }
 
 // readResponse reads the header of the next response that is not an interim (1xx) one.
@@ -132,61 +125,21 @@
 // Read reads from the body. It returns io.EOF at the end of the complete body, else an
 // *InterruptedError.
 func (r *Response) Read(p []byte) (int, error) {
-	if r.readTimeout > 0 && r.conn.reader.Buffered() == 0 {
-		if err := r.awaitData(r.readTimeout); err != nil {
-			r.reportTimeout(err)
-			return 0, &InterruptedError{Cause: translateReadError(err)}
-		}
-	}
 	n, err := r.resp.Body.Read(p)
 	switch {
 	case err == io.EOF:
 		r.complete = true
 		return n, io.EOF
 	case err != nil:
-		return n, &InterruptedError{Cause: translateReadError(err)}
+		return n, r.interrupted(err)
 	}
 	return n, nil
 }
 
-// awaitData waits up to d for data and then allows d again for the rest of it. Only the wait for the
-// first byte can be repeated after a timeout, as nothing has been consumed then.
-func (r *Response) awaitData(d time.Duration) error {
-	for d > 0 {
-		r.setReadDeadline(d)
-		_, err := r.conn.reader.Peek(1)
-		switch {
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			// Other errors are left to the following read: only it knows whether the response may
-			// end here.
-			r.setReadDeadline(d)
-			return nil
-		case r.request.AbortOnTimeout == nil || r.request.AbortOnTimeout():
-			return err
-		}
-	}
-	r.setReadDeadline(0)
-	return nil
-}
-
-// setReadDeadline bounds reads to d from now; 0 means that only the context bounds them.
-func (r *Response) setReadDeadline(d time.Duration) {
-	deadline := time.Time{}
-	if d > 0 {
-		deadline = time.Now().Add(d)
-	}
-	// Setting a deadline fails only on a closed connection. What arrived before is still valid, and
-	// reads return at once.
-	_ = r.conn.SetReadDeadline(deadline)
-}
-
-// translateReadError turns a passed deadline into ErrReadTimeout, and io.EOF within a response into
-// io.ErrUnexpectedEOF, so that no caller takes it for the end of the body.
+// translateReadError turns io.EOF within a response into io.ErrUnexpectedEOF, so that no caller takes it for the end
+// of the body.
 func translateReadError(err error) error {
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return ErrReadTimeout
-	case errors.Is(err, io.EOF):
+	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
 	return err
--- a/jackdawd/internal/relay/read_ahead.go
+++ b/jackdawd/internal/relay/read_ahead.go
@@ -110,9 +110,8 @@
 	// acknowledged is how much the caller has acknowledged; the budget's lock protects it.
 	acknowledged uint64
 
-	// wakeReader wakes a reader that waits for room; nil without a reader. hasWaited is set if it did.
+	// wakeReader wakes a reader that waits for room; nil without a reader.
 	wakeReader chan struct{}
-	hasWaited  bool
 
 	mu sync.Mutex
 	// changed is signalled when a field below changes that the writer waits for.
@@ -223,19 +222,10 @@
 		a.buf = make([]byte, readBufferBytes)
 	}
 	var part []byte
-	part, a.end = a.read()
+	part, a.end = a.source.read(a.resp, a.buf)
 	return part, a.end
 }
 
-// read reads the next part from the upstream.
-func (a *readAhead) read() ([]byte, *result) {
-	if a.hasWaited {
-		a.resp.RenewReadDeadline()
-		a.hasWaited = false
-	}
-	return a.source.read(a.resp, a.buf)
-}
-
 // nextHeld returns the next part that the reader has read, and the result of the attempt if none follows.
 func (a *readAhead) nextHeld() ([]byte, *result) {
 	a.mu.Lock()
@@ -331,7 +321,7 @@
 	}
 	for {
 		a.source.resume()
-		part, end := a.read()
+		part, end := a.source.read(a.resp, a.buf)
 		if end != nil {
 			a.endUpstream(end)
 		}
@@ -445,7 +435,6 @@
 // its silence meanwhile.
 func (a *readAhead) awaitRoom() {
 	a.watchdog.suspend()
-	a.hasWaited = true
 	retry := time.NewTimer(roomRetryInterval)
 	defer retry.Stop()
 	select {
