--- a/jackdawd/internal/relay/silence_test.go
+++ b/jackdawd/internal/relay/silence_test.go
@@ -111,3 +111,38 @@
 		})
 	}
 }
+
+// Guards against a stream that a second upstream works on although the first one goes on after a short silence, or
+// that the first one still works on 400 ms after it was resumed.
+func TestStreamOfSilentUpstreamRunsOnce(t *testing.T) {
+	const maxOverlap = 400 * time.Millisecond
+	for name, test := range map[string]struct {
+		silence time.Duration
+		runs    int
+	}{
+		"short":   {time.Second, 1},
+		"usual":   {1400 * time.Millisecond, 1},
+		"longest": {1900 * time.Millisecond, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFixture(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+				var goesOnAt, resumedAt time.Time
+				silent := &silentUpstream{silence: test.silence, eventsBefore: 2, onSilence: func(*standin.Runner) { goesOnAt = time.Now().Add(test.silence) }}
+				f.setBehaviors(func(u *standin.Runner) standin.Behavior {
+					behavior := silent.behavior(u)
+					return func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+						resumedAt = time.Now()
+						return behavior(w, r, body)
+					}
+				})
+				got := f.do(f.streamRequest("/digest/x", "r1", silentStreamEvents))
+				require.NoError(t, got.err)
+				require.Equal(t, eventRange(1, silentStreamEvents), got.body)
+				require.Equal(t, test.runs, f.runCount("r1"))
+				if test.runs > 1 {
+					require.LessOrEqual(t, goesOnAt.Sub(resumedAt), maxOverlap, "a silent upstream notices the closed connection as it goes on")
+				}
+			})
+		})
+	}
+}
