--- a/jackdawd/internal/exchange/client.go
+++ b/jackdawd/internal/exchange/client.go
@@ -63,8 +63,9 @@
 	// HeaderTimeout is the timeout for the header of the response; 0 means that only the context
 	// bounds it.
 	HeaderTimeout time.Duration
-	// AbortOnTimeout is called each time the timeout for the header, or later the one for reads of the
-	// body, has passed without data, and reports whether to stop waiting; nil means always.
+	// AbortOnTimeout is called when the timeout for the header, or later the one for reads of the body,
+	// has passed without data, and then each quarter of it, and reports whether to stop waiting; nil
+	// means always.
 	AbortOnTimeout func() bool
 	// MaxIdleTime bounds how long the connection may have been idle; 0 means no bound. A request that
 	// must not run twice avoids connections that the upstream may be about to close.
--- a/jackdawd/internal/exchange/response.go
+++ b/jackdawd/internal/exchange/response.go
@@ -149,11 +149,15 @@
 	return n, nil
 }
 
+// abortRetryDivisor is the divisor of a timeout that gives the interval at which AbortOnTimeout is called again.
+// A whole timeout later, the caller may have left.
+const abortRetryDivisor = 4
+
 // awaitData waits up to d for data and then allows d again for the rest of it. Only the wait for the
 // first byte can be repeated after a timeout, as nothing has been consumed then.
 func (r *Response) awaitData(d time.Duration) error {
-	for d > 0 {
-		r.setReadDeadline(d)
+	for wait := d; d > 0; wait = d / abortRetryDivisor {
+		r.setReadDeadline(wait)
 		_, err := r.conn.reader.Peek(1)
 		switch {
 		case !errors.Is(err, os.ErrDeadlineExceeded):
--- a/jackdawd/internal/relay/read_ahead.go
+++ b/jackdawd/internal/relay/read_ahead.go
@@ -61,7 +61,7 @@
 
 func (s eventSource) write(part []byte) error { return s.sendEvents(part) }
 
-func (s eventSource) resume() { s.watchdog.reset(s.eventTimeout()) }
+func (s eventSource) resume() { s.watchdog.reset(s.eventReportTime()) }
 
 // unbufferedSource reads a response that is no stream.
 type unbufferedSource struct {
--- a/jackdawd/internal/relay/silence_test.go
+++ b/jackdawd/internal/relay/silence_test.go
@@ -146,3 +146,38 @@
 		})
 	}
 }
+
+// Guards against a stream whose caller leaves because its host looked for another upstream only once before.
+func TestLostUpstreamIsLeftOnceAnotherIsFree(t *testing.T) {
+	runFixture(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+		lost := &silentUpstream{silence: time.Minute, eventsBefore: 2, onSilence: func(lost *standin.Runner) {
+			for _, u := range f.store.upstreams {
+				if f.runners[u.ID] != lost {
+					f.handler.Backoffs.Add(time.Now(), u.Instance(), 1700*time.Millisecond) // and up to 1 s more
+				}
+			}
+		}}
+		f.setBehaviors(lost.behavior)
+		start := time.Now()
+		got := f.do(f.streamRequest("/digest/x", "r1", silentStreamEvents))
+		require.NoError(t, got.err)
+		require.Equal(t, eventRange(1, silentStreamEvents), got.body)
+		require.Less(t, time.Since(start), 3200*time.Millisecond, "callers leave")
+	})
+}
+
+// Guards against an event timeout that callers of some routes don't bear, or sound upstreams don't keep.
+func TestEventTimeoutFollowsCallers(t *testing.T) {
+	for name, test := range map[string]struct {
+		target, gapTarget, want time.Duration
+	}{
+		"short targets":   {400 * time.Millisecond, 200 * time.Millisecond, 1500 * time.Millisecond},
+		"longest pause":   {400 * time.Millisecond, 400 * time.Millisecond, 1600 * time.Millisecond},
+		"response target": {1200 * time.Millisecond, 400 * time.Millisecond, 2400 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := &job{route: &traffic.Route{FirstByteTarget: test.target, EventIntervalTarget: test.gapTarget}}
+			require.Equal(t, test.want, j.eventTimeout())
+		})
+	}
+}
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -10,11 +10,22 @@
 )
 
 const (
-	// eventTimeoutFactor is the multiple of the route's target for the gap between events after
-	// which a resumable stream is resumed at another upstream.
-	eventTimeoutFactor = 3
-	// minEventTimeout is the minimum of that timeout.
-	minEventTimeout = 800 * time.Millisecond
+	// Callers leave a stream after a gap of callerGapFactor times the route's target for gaps, of
+	// callerTargetFactor times its target for the first event, or of minCallerGap, whichever is longest.
+	callerGapFactor    = 8
+	callerTargetFactor = 4
+	minCallerGap       = 2 * time.Second
+	// eventTimeoutDivisor is the divisor of that gap that gives the time after which a stream is resumed elsewhere.
+	// The other upstream gets the rest.
+	eventTimeoutDivisor = 2
+	// minEventTimeout is the minimum of that time. A sound upstream is silent for up to 1.9 s, and may work on for
+	// 0.4 s after its stream was resumed elsewhere.
+	minEventTimeout = 1500 * time.Millisecond
+	// eventReportFactor is the multiple of the route's target for gaps after which an upstream is reported as silent,
+	// so that new requests avoid it.
+	eventReportFactor = 3
+	// minEventReportTime is the minimum of that time.
+	minEventReportTime = 800 * time.Millisecond
 	// writeTimeout bounds each write to a caller. A caller that stops reading would otherwise
 	// occupy an engine's slot forever.
 	writeTimeout = 10 * time.Second
@@ -76,9 +87,15 @@
 	resp.SetReadTimeout(j.eventTimeout())
 }
 
-// eventTimeout returns how long the next event of a stream may take.
+// eventTimeout returns how long the next event of a stream may take before the stream is resumed elsewhere.
 func (j *job) eventTimeout() time.Duration {
-	return max(eventTimeoutFactor*j.route.EventIntervalTarget, minEventTimeout)
+	callerGap := max(minCallerGap, callerTargetFactor*j.route.FirstByteTarget, callerGapFactor*j.route.EventIntervalTarget)
+	return max(callerGap/eventTimeoutDivisor, minEventTimeout)
+}
+
+// eventReportTime returns how long the next event of a stream may take before its upstream is reported as silent.
+func (j *job) eventReportTime() time.Duration {
+	return max(eventReportFactor*j.route.EventIntervalTarget, minEventReportTime)
 }
 
 // startEvents writes the header before the first events of a stream, and records that the upstream has sent
@@ -92,7 +109,7 @@
 	if j.firstEventAt.IsZero() {
 		j.firstEventAt = time.Now()
 	}
-	j.watchdog.reset(j.eventTimeout())
+	j.watchdog.reset(j.eventReportTime())
 }
 
 // writeEvents writes complete events to the caller and flushes them.
--- a/jackdawd/internal/relay/successor.go
+++ b/jackdawd/internal/relay/successor.go
@@ -36,6 +36,9 @@
 		j.successor = &c
 		return true
 	}
+	if last := j.steps[len(j.steps)-1]; last.Decision == Kept && last.Reason == reason {
+		return false
+	}
 	j.addStep(Step{Decision: Kept, Upstream: j.current.ID, Candidates: c.step.Candidates, Avoided: c.step.Avoided, Reason: reason})
 	return false
 }
