--- a/jackdawd/internal/exchange/input.go
+++ b/jackdawd/internal/exchange/input.go
@@ -22,10 +22,14 @@
 	timedOut bool
 }
 
+// abortRetryDivisor is the divisor of a timeout that gives the interval at which abort is called again. A whole
+// timeout later, the caller may have left.
+const abortRetryDivisor = 4
+
 // Read reads from the connection. It returns os.ErrDeadlineExceeded if the upstream is silent for too long.
 func (i *input) Read(p []byte) (int, error) {
-	for {
-		i.setDeadline()
+	for wait := i.timeout; ; wait = i.timeout / abortRetryDivisor {
+		i.setDeadline(wait)
 		n, err := i.conn.Read(p)
 		switch {
 		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
@@ -37,18 +41,18 @@
 	}
 }
 
-// setDeadline sets the deadline of the next read.
-func (i *input) setDeadline() {
+// setDeadline bounds the next read to d; 0 means that it is not bounded.
+func (i *input) setDeadline(d time.Duration) {
 	deadline := time.Time{}
-	if i.timeout > 0 {
-		deadline = time.Now().Add(i.timeout)
+	if d > 0 {
+		deadline = time.Now().Add(d)
 	}
-	if i.hasDeadline || i.timeout > 0 {
+	if i.hasDeadline || d > 0 {
 		// Setting a deadline fails only on a closed connection. What arrived before is still valid, and
 		// reads return at once.
 		_ = i.conn.SetReadDeadline(deadline)
 	}
-	i.hasDeadline = i.timeout > 0
+	i.hasDeadline = d > 0
 }
 
 // reset prepares for the next request on the connection, which has no deadline.
