--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -154,10 +154,11 @@
 
 // listener accepts in-memory connections.
 type listener struct {
-	conns chan net.Conn
-	done  chan struct{}
-	mu    sync.Mutex
-	open  []openConn
+	conns   chan net.Conn
+	done    chan struct{}
+	closing sync.Once
+	mu      sync.Mutex
+	open    []openConn
 }
 
 // openConn is one end of an open connection and the process that dialled it.
@@ -176,8 +177,11 @@
 	}
 }
 
-// Close does nothing; Kill ends a listener.
-func (l *listener) Close() error { return nil }
+// Close refuses new connections. Open ones stay open until Kill.
+func (l *listener) Close() error {
+	l.closing.Do(func() { close(l.done) })
+	return nil
+}
 
 // Addr returns an empty address.
 func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
@@ -198,7 +202,7 @@
 }
 
 func (l *listener) kill() {
-	close(l.done)
+	l.closing.Do(func() { close(l.done) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.open {
