--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -386,11 +386,22 @@
 		time.Sleep(drainPollInterval)
 	}
 	aborted := h.handler.InProgress()
+	h.closeIdleConns(deadline)
 	err := h.close()
 	logrus.WithField("cut-off", aborted).Info("entry: Stopped.")
 	return err
 }
 
+// closeIdleConns closes callers' connections without a request and waits until the other ones have their responses,
+// of which the server writes the last part after the handler has returned.
+func (h *Host) closeIdleConns(deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := h.callerServer.Shutdown(ctx); err != nil {
+		logrus.WithError(err).Warn("entry: Closing connections whose responses are not written.")
+	}
+}
+
 func (h *Host) close() error {
 	h.cancel()
 	errs := []error{h.callerServer.Close(), h.readinessServer.Close(), h.source.Close()}
