--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -37,6 +37,8 @@
 	// abortMargin is how long before the end of the grace period remaining requests are aborted,
 	// so that the process exits before the platform kills it.
 	abortMargin = 400 * time.Millisecond
+	// refusalMargin is how much of abortMargin the refusals of aborted requests may take.
+	refusalMargin = 200 * time.Millisecond
 	// drainPollInterval is how often a draining host checks whether requests are in progress.
 	drainPollInterval = 50 * time.Millisecond
 	// headerTimeout is how long a caller may take to send a request's headers.
@@ -386,7 +388,8 @@
 		time.Sleep(drainPollInterval)
 	}
 	aborted := h.handler.InProgress()
-	h.closeIdleConns(deadline)
+	h.handler.Abort()
+	h.closeIdleConns(deadline.Add(refusalMargin))
 	err := h.close()
 	logrus.WithField("cut-off", aborted).Info("entry: Stopped.")
 	return err
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -168,11 +168,15 @@
 	// refuseAfterUnixNano is when a draining host starts to refuse requests; 0 while it is not
 	// draining.
 	refuseAfterUnixNano atomic.Int64
+	// aborted is done once Abort was called.
+	aborted context.Context
+	abort   context.CancelFunc
 }
 
 // NewHandler returns a Handler with the given dependencies and settings.
 func NewHandler(o Options) *Handler {
-	return &Handler{Options: o, tracer: otel.Tracer("jackdawd/relay")}
+	aborted, abort := context.WithCancel(context.Background())
+	return &Handler{Options: o, tracer: otel.Tracer("jackdawd/relay"), aborted: aborted, abort: abort}
 }
 
 // InProgress returns the number of requests in progress.
@@ -188,6 +192,9 @@
 	h.refuseAfterUnixNano.Store(refuseFrom.UnixNano())
 }
 
+// Abort ends the requests in progress. Those whose callers have no response yet are refused.
+func (h *Handler) Abort() { h.abort() }
+
 // ServeHTTP forwards one request to an upstream, or refuses it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -159,6 +159,8 @@
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	stopAbort := context.AfterFunc(j.aborted, cancel)
+	defer stopAbort()
 	ctx, span := j.tracer.Start(ctx, "relay", trace.WithAttributes(
 		attribute.String("request", j.request.ID), attribute.String("route", j.route.Name),
 	))
@@ -284,6 +286,8 @@
 		r := work.NewUncertainRefusal(work.UpstreamFailed, "no answer came in time")
 		r.Status = timeoutStatus
 		return r
+	case j.mayHaveRun && j.aborted.Err() != nil:
+		return work.NewUncertainRefusal(work.UpstreamFailed, "the host stopped before an answer came")
 	case j.mayHaveRun:
 		return work.NewUncertainRefusal(work.UpstreamFailed, "no whole answer came: %v", last.err)
 	}
