--- a/jackdawd/internal/relay/stream_test.go
+++ b/jackdawd/internal/relay/stream_test.go
@@ -247,3 +247,32 @@
 		})
 	}
 }
+
+// Guards against a stream whose end is not written because the upstream was silent before it for longer than a write
+// to the caller may take.
+func TestEndOfStreamIsWrittenAfterLongSilence(t *testing.T) {
+	for name, readAhead := range map[string]int64{"read as callers read": 0, "read ahead": 16 << 20} {
+		t.Run(name, func(t *testing.T) {
+			runFixture(t, []string{"reader-1"}, func(t *testing.T, f *fixture) {
+				if readAhead > 0 {
+					f.enableReadAhead(readAhead)
+				}
+				f.setBehaviors(func(u *standin.Runner) standin.Behavior {
+					return func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+						u.SetResponseHeaders(w.Header(), u.RecordRun(r, body).ID)
+						w.Header().Set("Content-Type", "text/event-stream")
+						_, _ = io.WriteString(w, eventRange(1, 3))
+						_ = http.NewResponseController(w).Flush()
+						time.Sleep(writeTimeout + time.Second)
+						return true
+					}
+				})
+				req, err := standin.Caller{Address: listenAddress, Host: "a.example", Key: "key-1", Timeout: time.Minute}.Stream(t.Context(), "/sort/x", "r1", "bb", 3)
+				require.NoError(t, err)
+				got := f.do(req)
+				require.NoError(t, got.err)
+				require.Equal(t, eventRange(1, 3), got.body)
+			})
+		})
+	}
+}
