--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -258,6 +258,7 @@
 func (j *job) finish(ctx context.Context, last result) {
 	switch {
 	case last.verdict == answered:
+		j.extendWriteDeadline()
 		j.record(Answered, j.status, nil)
 	case last.verdict == cutOff:
 		j.record(Truncated, j.status, nil)
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -108,6 +108,17 @@
 	return j.controller.SetWriteDeadline(now.Add(writeTimeout))
 }
 
+// extendWriteDeadline lets the server write the end of a complete response, whose last part may have been written
+// long ago.
+func (j *job) extendWriteDeadline() {
+	end := time.Now().Add(writeTimeout)
+	if d := j.deadline.Add(responseGracePeriod); d.After(end) {
+		end = d
+	}
+	// Setting a deadline fails only on a closed connection, whose caller has left.
+	_ = j.controller.SetWriteDeadline(end)
+}
+
 // sendEvents writes complete events and flushes them; the deadline must be set.
 func (j *job) sendEvents(events []byte) error {
 	now := time.Now()
