--- a/common/wire/silence.go
+++ b/common/wire/silence.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -12,6 +13,9 @@
 // keepAliveProbes is how many probes of an idle connection may stay unanswered until it ends.
 const keepAliveProbes = 2
 
+// checksPerSilence is how often a connection is checked within the time for which its peer may be silent.
+const checksPerSilence = 3
+
 // NewDialer returns a dialer for TCP whose connections end once the peer has acknowledged nothing for
 // a time, be it data or probes of an idle connection; connect bounds the time to open them. The kernel
 // counts keep-alive times in whole seconds.
@@ -22,8 +26,9 @@
 	}
 }
 
-// LimitSilence makes an accepted connection end once the peer has acknowledged nothing for a time. It
-// does nothing if the connection is not over TCP.
+// LimitSilence makes an accepted connection end once the peer has acknowledged nothing for a time, neither data nor
+// probes. A peer that only does not read is not silent, other than for TCP_USER_TIMEOUT, which also ends a connection
+// whose window stays closed. It does nothing if the connection is not over TCP.
 func LimitSilence(conn net.Conn, silence time.Duration) error {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
@@ -33,15 +38,57 @@
 	if err != nil {
 		return fmt.Errorf("limit silence: %w", err)
 	}
-	if err := setUserTimeout(raw, silence); err != nil {
-		return err
-	}
 	if err := tcp.SetKeepAliveConfig(keepAlive(silence)); err != nil {
 		return fmt.Errorf("limit silence: %w", err)
 	}
+	watchSilence(tcp, raw, silence)
 	return nil
 }
 
+// watchSilence closes a connection once its peer is silent. The kernel's keep-alive does so only while nothing is
+// outstanding.
+func watchSilence(conn *net.TCPConn, raw syscall.RawConn, silence time.Duration) {
+	w := &silenceWatch{silence: silence}
+	var check func()
+	check = func() {
+		info, err := tcpInfo(raw)
+		if err != nil {
+			// The connection is closed.
+			return
+		}
+		if w.isSilent(info) {
+			_ = conn.Close()
+			return
+		}
+		time.AfterFunc(silence/checksPerSilence, check)
+	}
+	time.AfterFunc(silence/checksPerSilence, check)
+}
+
+// tcpInfo returns what the kernel knows of a connection.
+func tcpInfo(raw syscall.RawConn) (info *unix.TCPInfo, err error) {
+	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return info, errors.Join(controlErr, err)
+}
+
+// A silenceWatch finds out whether the peer of a connection is silent.
+type silenceWatch struct {
+	silence time.Duration
+	// unanswered is how many of the latest checks in a row found something that the peer had not acknowledged.
+	unanswered int
+}
+
+// isSilent reports whether the peer is silent. One check is not enough: the kernel sends few probes to a peer that has
+// not read for long, so that its last acknowledgement may be old whenever one is on its way.
+func (w *silenceWatch) isSilent(info *unix.TCPInfo) bool {
+	if info.Unacked == 0 && info.Probes == 0 {
+		w.unanswered = 0
+		return false
+	}
+	w.unanswered++
+	return w.unanswered > 1 && time.Duration(info.Last_ack_recv)*time.Millisecond >= w.silence
+}
+
 // keepAlive returns settings by which probes give up after the same time as TCP_USER_TIMEOUT. That
 // decides whatever the number of probes is, so a longer time here would not hold.
 func keepAlive(silence time.Duration) net.KeepAliveConfig {
