--- a/jackdawd/internal/relay/caller_test.go
+++ b/jackdawd/internal/relay/caller_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/platform/standin"
 )
 
 // tcpPair returns both ends of a TCP connection.
@@ -89,3 +92,37 @@
 	}
 	require.Zero(t, acknowledgedBytes(t.Context()), "a connection in memory")
 }
+
+// Guards against a caller that waits but counts as gone: for what it sends on after its request, or as the read deadline
+// of an earlier body on its connection passes.
+func TestWaitingCallerIsNotGone(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"pipelined": 0, "after an earlier deadline": 1700 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			runFixture(t, []string{"mailbox-1"}, func(t *testing.T, f *fixture) {
+				f.setBehaviors(func(*standin.Runner) standin.Behavior {
+					return func(http.ResponseWriter, *http.Request, []byte) bool {
+						time.Sleep(1500 * time.Millisecond)
+						return false
+					}
+				})
+				conn, err := f.net.Dial(t.Context(), "tcp", listenAddress)
+				require.NoError(t, err)
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				go func() {
+					for _, id := range []string{"r1", "r2", "r3"} {
+						_ = f.request(http.MethodPost, "/notice/x", id, "body").Write(conn)
+						time.Sleep(pause)
+					}
+				}()
+				for range 3 {
+					resp, err := http.ReadResponse(reader, nil)
+					require.NoError(t, err)
+					_, err = io.Copy(io.Discard, resp.Body)
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, resp.StatusCode)
+				}
+			})
+		})
+	}
+}
