--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -374,7 +374,8 @@
 		return result{verdict: callerLeft, err: err}
 	}
 	if _, err := io.CopyBuffer(writerOnly{j.w}, readerOnly{resp}, make([]byte, readBufferBytes)); err != nil {
-		if ctx.Err() != nil {
+		var interrupted *exchange.InterruptedError
+		if !errors.As(err, &interrupted) || j.r.Context().Err() != nil {
 			return result{verdict: callerLeft, err: err}
 		}
 		return result{verdict: broken, err: err}
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -100,6 +100,8 @@
 	status     int
 	splitter   events.Splitter
 
+	// cause is why the response is not complete, if it isn't; set once the request has ended.
+	cause EndCause
 	// watchdog reports the current upstream if it is silent for too long.
 	watchdog *watchdog
 	// configurationAge is how old the configuration may have been when the request arrived.
@@ -256,6 +258,7 @@
 
 // finish sends the error response, if any, and records how the request ended.
 func (j *job) finish(ctx context.Context, last result) {
+	j.cause = j.endCause(ctx, last)
 	switch {
 	case last.verdict == answered:
 		j.extendWriteDeadline()
--- a/jackdawd/internal/relay/read_ahead.go
+++ b/jackdawd/internal/relay/read_ahead.go
@@ -76,7 +76,7 @@
 		return buf[:n], nil
 	case errors.Is(err, io.EOF):
 		return buf[:n], &result{verdict: answered, unframed: !resp.Framed()}
-	case s.ctx.Err() != nil:
+	case s.r.Context().Err() != nil:
 		return buf[:n], &result{verdict: callerLeft, err: err}
 	}
 	return buf[:n], &result{verdict: broken, err: err}
@@ -199,6 +199,10 @@
 func (a *readAhead) writeFailed(err error) result {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.aborted {
+		// The write failed because its deadline was moved.
+		err = errAborted
+	}
 	return result{verdict: a.failureVerdict(), err: err}
 }
 
--- a/jackdawd/internal/relay/record.go
+++ b/jackdawd/internal/relay/record.go
@@ -129,8 +129,10 @@
 	Arrived          time.Time
 	Steps            []Step
 	Outcome          Outcome
-	Status           int
-	Refusal          *work.Refusal
+	// Cause is why the response is not complete; only set if the caller has left or the response is truncated.
+	Cause   EndCause
+	Status  int
+	Refusal *work.Refusal
 	// TimeToFirstByte is the time from arrival to the response header; 0 if none was sent.
 	TimeToFirstByte time.Duration
 	// MaxEventGap is the maximum time between two writes of a stream; 0 if there were fewer than
@@ -171,6 +173,9 @@
 	if j.suspect != 0 {
 		r.Fingerprint, r.PromptParts = j.suspect, j.request.SharedPartIDs()
 	}
+	if o == CallerLeft || o == Truncated {
+		r.Cause = j.cause
+	}
 	if j.route != nil {
 		r.Route, r.Kind = j.route.Name, string(j.route.Kind)
 	}
--- a/jackdawd/internal/requestlog/writer.go
+++ b/jackdawd/internal/requestlog/writer.go
@@ -194,9 +194,9 @@
 	case relay.Answered:
 		entry.WithFields(logrus.Fields{"first": r.TimeToFirstByte.String(), "longest-pause": r.MaxEventGap.String()}).Info("relay: Answered.")
 	case relay.CallerLeft:
-		entry.Info("relay: The caller disconnected.")
+		entry.WithField("cause", r.Cause).Info("relay: The caller disconnected.")
 	case relay.Truncated:
-		entry.WithFields(logrus.Fields{"first": r.TimeToFirstByte.String(), "longest-pause": r.MaxEventGap.String()}).Warn("relay: The response was truncated.")
+		entry.WithFields(logrus.Fields{"first": r.TimeToFirstByte.String(), "longest-pause": r.MaxEventGap.String(), "cause": r.Cause}).Warn("relay: The response was truncated.")
 	case relay.Refused:
 		fields := logrus.Fields{
 			"code": r.Refusal.Code, "outcome": r.Refusal.Outcome, "reason": r.Refusal.Message, "retry-after": r.Refusal.RetryAfter.String(),
--- a/jackdawd/internal/requestlog/writer_test.go
+++ b/jackdawd/internal/requestlog/writer_test.go
@@ -214,3 +214,14 @@
 	c.bytes += len(p)
 	return len(p), nil
 }
+
+// Guards against log lines that do not say why a response is not complete.
+func TestCauseOfIncompleteResponseIsLogged(t *testing.T) {
+	for _, outcome := range []relay.Outcome{relay.CallerLeft, relay.Truncated} {
+		log, out := newLogger()
+		record := newRecord("r1", outcome, time.Unix(1, 0))
+		record.Cause = relay.WriteTimedOut
+		NewWriter(log, log, telemetry.NewMeter()).Record(record)
+		require.Contains(t, out.String(), `"cause":"write-timed-out"`)
+	}
+}
