--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -37,6 +37,8 @@
 	// abortMargin is how long before the end of the grace period remaining requests are aborted,
 	// so that the process exits before the platform kills it.
 	abortMargin = 400 * time.Millisecond
+	// refusalMargin is how much of abortMargin the refusals of aborted requests may take.
+	refusalMargin = 200 * time.Millisecond
 	// drainPollInterval is how often a draining host checks whether requests are in progress.
 	drainPollInterval = 50 * time.Millisecond
 	// headerTimeout is how long a caller may take to send a request's headers.
@@ -396,11 +398,23 @@
 		time.Sleep(drainPollInterval)
 	}
 	aborted := h.handler.InProgress()
+	h.handler.Abort()
+	h.closeIdleConns(deadline.Add(refusalMargin))
 	err := h.close()
 	logrus.WithField("cut-off", aborted).Info("entry: Stopped.")
 	return err
 }
 
+// closeIdleConns closes callers' connections without a request and waits until the other ones have their responses,
+// of which the server writes the last part after the handler has returned.
+func (h *Host) closeIdleConns(deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := h.callerServer.Shutdown(ctx); err != nil {
+		logrus.WithError(err).Warn("entry: Closing connections whose responses are not written.")
+	}
+}
+
 func (h *Host) close() error {
 	h.cancel()
 	errs := []error{h.callerServer.Close(), h.readinessServer.Close(), h.source.Close()}
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -102,6 +102,8 @@
 	status     int
 	splitter   events.Splitter
 
+	// cause is why the response is not complete, if it isn't; set once the request has ended.
+	cause EndCause
 	// watchdog reports the current upstream if it is silent for too long.
 	watchdog *watchdog
 	// configurationAge is how old the configuration may have been when the request arrived.
@@ -161,6 +163,8 @@
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	stopAbort := context.AfterFunc(j.aborted, cancel)
+	defer stopAbort()
 	ctx, span := j.tracer.Start(ctx, "relay", trace.WithAttributes(
 		attribute.String("request", j.request.ID), attribute.String("route", j.route.Name),
 	))
@@ -256,8 +260,10 @@
 
 // finish sends the error response, if any, and records how the request ended.
 func (j *job) finish(ctx context.Context, last result) {
+	j.cause = j.endCause(ctx, last)
 	switch {
 	case last.verdict == answered:
+		j.extendWriteDeadline()
 		j.record(Answered, j.status, nil)
 	case last.verdict == cutOff:
 		j.record(Truncated, j.status, nil)
@@ -286,6 +292,8 @@
 		r := work.NewUncertainRefusal(work.UpstreamFailed, "no answer came in time")
 		r.Status = timeoutStatus
 		return r
+	case j.mayHaveRun && j.aborted.Err() != nil:
+		return work.NewUncertainRefusal(work.UpstreamFailed, "the host stopped before an answer came")
 	case j.mayHaveRun:
 		return work.NewUncertainRefusal(work.UpstreamFailed, "no whole answer came: %v", last.err)
 	}
