--- a/jackdawd/internal/relay/silence_test.go
+++ b/jackdawd/internal/relay/silence_test.go
@@ -181,3 +181,70 @@
 		})
 	}
 }
+
+// Guards against cold upstreams that get no requests as those that wait at a silent one use up their limits without
+// being sent there.
+func TestKeptRequestUsesNoColdLimit(t *testing.T) {
+	runFixture(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+		silent := &silentUpstream{silence: 1900 * time.Millisecond, eventsBefore: 2, onSilence: func(silent *standin.Runner) {
+			for f.handler.RetryBudgets.TryWithdraw(time.Now(), "reader") {
+			}
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			for i := range f.store.upstreams {
+				if u := &f.store.upstreams[i]; f.runners[u.ID] != silent {
+					u.ColdFor, u.Sequence = 3*time.Second, u.Sequence+1
+				}
+			}
+		}}
+		f.setBehaviors(silent.behavior)
+		got := f.do(f.streamRequest("/digest/x", "r1", silentStreamEvents))
+		require.NoError(t, got.err)
+		require.Equal(t, eventRange(1, silentStreamEvents), got.body)
+		snapshot := f.handler.Membership.Snapshot()
+		pool, _ := snapshot.Configuration().Pool("reader")
+		cold := 0
+		for _, u := range snapshot.ReadyUpstreams("reader") {
+			if snapshot.ColdUntil(u.ID).After(time.Now()) {
+				cold++
+				require.True(t, f.handler.ColdLimiter.Accepts(time.Now(), u, pool.ColdRate))
+			}
+		}
+		require.Equal(t, 1, cold)
+	})
+}
+
+// Guards against an upstream that is given up for a silence that its caller does not notice, as it still has events to
+// read, and against a request that goes to an upstream that was chosen seconds before and wants no requests by then.
+func TestSilenceBehindHeldEventsIsWaitedFor(t *testing.T) {
+	const eventsBefore, events = 2000, 2010
+	runFixture(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+		f.enableReadAhead(16 << 20)
+		begun := false
+		f.setBehaviors(func(u *standin.Runner) standin.Behavior {
+			return func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+				if begun {
+					return false
+				}
+				begun = true
+				u.SetResponseHeaders(w.Header(), u.RecordRun(r, body).ID)
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, eventRange(1, eventsBefore))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(1900 * time.Millisecond)
+				_, _ = io.WriteString(w, eventRange(eventsBefore+1, events))
+				return true
+			}
+		})
+		resp := f.open(f.streamRequest("/digest/x", "r1", events))
+		time.Sleep(3 * time.Second)
+		for _, u := range f.store.upstreams {
+			f.handler.Backoffs.Add(time.Now(), u.Instance(), time.Minute)
+		}
+		time.Sleep(2 * time.Second)
+		got, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, eventRange(1, events), string(got))
+		require.Equal(t, 1, f.runCount("r1"))
+	})
+}
