--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -71,7 +71,7 @@
 // would start too late there.
 func (j *job) place() *traffic.Upstream {
 	c := j.findCandidate()
-	if c.upstream == nil {
+	if c.upstream == nil || !j.takeCold(c) {
 		c.step.Decision, c.step.Reason = Stopped, j.refuseWithoutUpstream(c.temperature, c.left)
 		j.addStep(c.step)
 		return nil
@@ -119,16 +119,15 @@
 		choice.Usable = temperature.Cold
 		upstream = placement.Choose(*choice)
 	}
-	now := time.Now()
-	if upstream == nil || temperature.Cold == nil || !j.snapshot.ColdUntil(upstream.ID).After(now) {
-		return upstream
-	}
-	if !j.ColdLimiter.Take(now, upstream, j.pool.ColdRate) {
-		return nil
-	}
 	return upstream
 }
 
+// takeCold counts a request to a candidate that is cold, and reports whether it may be sent.
+func (j *job) takeCold(c candidate) bool {
+	now := time.Now()
+	return c.temperature.Cold == nil || !j.snapshot.ColdUntil(c.upstream.ID).After(now) || j.ColdLimiter.Take(now, c.upstream, j.pool.ColdRate)
+}
+
 // chooseByPool returns the upstream for the request, or nil if none is usable. Reports of engines are common to all
 // hosts and half a second old; those of services are a host's own, and newer, and tell the pace of the machine.
 func (j *job) chooseByPool(choice placement.Choice) *traffic.Upstream {
--- a/jackdawd/internal/relay/successor.go
+++ b/jackdawd/internal/relay/successor.go
@@ -44,7 +44,7 @@
 }
 
 // successorDenial returns the reason why a candidate does not take the request over, or "" if it does. It then takes
-// a retry from the budget.
+// a retry from the budget, and a cold candidate's limit. The limit comes last, as it was not reached a moment ago.
 func (j *job) successorDenial(c candidate) string {
 	_, quarantined := j.findQuarantined()
 	switch {
@@ -58,6 +58,8 @@
 		return reasonFull
 	case !j.RetryBudgets.TryWithdraw(time.Now(), j.pool.Name):
 		return reasonBudgetSpent
+	case !j.takeCold(c):
+		return reasonCold
 	}
 	return ""
 }
