--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -78,6 +78,8 @@
 	current *traffic.Upstream
 	// successor takes the request over from the current upstream, with a retry taken from the budget; nil for none.
 	successor *candidate
+	// ahead forwards the response of the current upstream if it is read ahead; else nil.
+	ahead *readAhead
 	// attempted holds the upstreams that were sent the request or could not be reached.
 	attempted []traffic.UpstreamInstance
 	// attemptStartedAt is when the latest attempt started, connectTime how long it took to get a
@@ -348,7 +350,7 @@
 		MaxConnections: j.pool.MaxConnections / hostConnectionDivisor,
 		HeaderTimeout:  j.firstByteTimeout(j.sentCount + 1),
 		OnConnected:    func(through string) { j.recordConnected(u, through) },
-		AbortOnTimeout: func() bool { return !j.isFull(u) && j.findSuccessor() },
+		AbortOnTimeout: func() bool { return !j.isFull(u) && !j.isCallerBehind() && j.findSuccessor() },
 	}
 	if !j.route.Repeatable() {
 		req.MaxIdleTime = maxIdleNonRepeatable
--- a/jackdawd/internal/relay/read_ahead.go
+++ b/jackdawd/internal/relay/read_ahead.go
@@ -143,7 +143,11 @@
 	a := &readAhead{job: j, resp: resp, source: s, end: end, upstreamDone: end != nil}
 	a.changed.L, a.writes.onSlow = &a.mu, a.readOn
 	a.slowWrites.add(&a.writes)
-	defer a.close()
+	j.ahead = a
+	defer func() {
+		a.close()
+		j.ahead = nil
+	}()
 	for len(first) > 0 {
 		n := min(len(first), readBufferBytes)
 		if err := a.write(first[:n], len(first)); err != nil {
@@ -195,6 +199,17 @@
 	return a.source.write(part)
 }
 
+// isCallerBehind reports whether the caller still has a part of the response to read. It does not notice a silence of
+// the upstream until then.
+func (j *job) isCallerBehind() bool { return j.ahead != nil && j.ahead.isHolding() }
+
+// isHolding reports whether anything that was read has not been written.
+func (a *readAhead) isHolding() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holding != nil && (!a.writerIdle || len(a.chunks) > 0)
+}
+
 // writeFailed returns the result of an attempt whose response could not be written.
 func (a *readAhead) writeFailed(err error) result {
 	a.mu.Lock()
