--- a/jackdawd/internal/entry/callerconn.go
+++ b/jackdawd/internal/entry/callerconn.go
@@ -35,7 +35,8 @@
 	}
 	if !c.begin() {
 		c.discarded.Add(1)
-		return 0, net.ErrClosed
+		// net/http would answer any other error than one of reading with status 400.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 	}
 	// net/http sets this deadline on a kept connection only after the fourth byte.
 	if err := c.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
