--- a/jackdawd/internal/entry/callerconns.go
+++ b/jackdawd/internal/entry/callerconns.go
@@ -43,6 +43,8 @@
 	mu      sync.Mutex
 	maxOpen int
 	open    int
+	// stopping is set once the host only waits for the connections that are not idle.
+	stopping bool
 	// idle lists the connections without a request, the one idle for longest first; elements
 	// maps each to its list element.
 	idle     *list.List
@@ -148,20 +150,42 @@
 		if c.open > c.maxOpen {
 			c.closeLongestIdle()
 		}
-		c.elements[conn] = c.idle.PushBack(idleConn{conn, time.Now(), timeout})
+		c.addIdle(conn, timeout)
 	case http.StateActive:
 		// The head of a pipelined request was read before the connection became idle. If the host has closed the
 		// connection since then, the relay handles the caller as disconnected.
 		conn.begin()
 	case http.StateIdle:
 		if conn.end() {
-			c.elements[conn] = c.idle.PushBack(idleConn{conn, time.Now(), timeout})
+			c.addIdle(conn, timeout)
 		}
 	case http.StateClosed, http.StateHijacked:
 		c.open--
 	}
 }
 
+// addIdle adds a connection to the idle list, or closes it if the host stops; the lock must be held.
+func (c *callerConns) addIdle(conn *callerConn, timeout time.Duration) {
+	if c.stopping {
+		conn.closeIdle()
+		return
+	}
+	c.elements[conn] = c.idle.PushBack(idleConn{conn, time.Now(), timeout})
+}
+
+// stop closes the idle connections, and from then on those that become idle. It returns the number of connections that
+// are still open: their requests are arriving or in progress, or their responses are being written.
+func (c *callerConns) stop() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	for conn := range c.elements {
+		c.remove(conn)
+		conn.closeIdle()
+	}
+	return c.open
+}
+
 // remove removes a connection from the idle list; the lock must be held.
 func (c *callerConns) remove(conn *callerConn) {
 	if e, ok := c.elements[conn]; ok {
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -381,7 +381,8 @@
 }
 
 // Stop drains and closes the host: it reports not ready, serves until the load balancer has
-// noticed, and waits for requests in progress until shortly before the grace period ends.
+// noticed, and waits for requests in progress and connections that are not idle until shortly before the grace
+// period ends.
 func (h *Host) Stop() error {
 	start := time.Now()
 	h.draining.Store(true)
@@ -390,7 +391,9 @@
 	logrus.WithField("in-progress", h.handler.InProgress()).Info("entry: Stopping. Waiting for requests in progress.")
 	deadline := start.Add(h.bounds.Load().GracePeriod - abortMargin)
 	for time.Now().Before(deadline) {
-		if time.Since(start) > balancerDrainDelay && h.handler.InProgress() == 0 && h.tunnels.Tunnels() == 0 {
+		// A request counts as in progress only while its handler runs; its connection is open until the response has
+		// been written.
+		if time.Since(start) > balancerDrainDelay && h.handler.InProgress() == 0 && h.tunnels.Tunnels() == 0 && h.conns.stop() == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
