--- a/jackdawd/internal/relay/silence_test.go
+++ b/jackdawd/internal/relay/silence_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/jackdawd/internal/exchange"
 	"jackdawhinge/platform/standin"
 )
 
@@ -248,3 +250,69 @@
 		require.Equal(t, 1, f.runCount("r1"))
 	})
 }
+
+// Guards against a host that gives up a silent upstream for another one that it then does not or may not ask.
+func TestSilentUpstreamIsNotLeftWithoutRoom(t *testing.T) {
+	for name, test := range map[string]struct {
+		runners int
+		// replaced is how many upstreams respond that another one has their address now.
+		replaced int32
+		prepare  func(f *fixture)
+		// onSilence is called as the silence begins.
+		onSilence func(f *fixture, silent *standin.Runner)
+	}{
+		"no attempts left": {maxAttempts + 1, maxAttempts - 1, func(f *fixture) {
+			for range 100 {
+				f.handler.RetryBudgets.Deposit(time.Now(), "mailbox")
+			}
+		}, nil},
+		"no connections left": {2, 0, func(f *fixture) {
+			f.store.updateUpstreams(func(u *traffic.Upstream) { u.Slots = 0 })
+		}, func(f *fixture, silent *standin.Runner) {
+			for _, u := range f.store.upstreams {
+				for n := 0; f.runners[u.ID] != silent && n < 100/hostConnectionDivisor; n++ {
+					id := fmt.Sprint("other-", n)
+					resp, err := f.handler.Client.Do(f.t.Context(), exchange.Request{Address: u.Address, ID: id, Method: http.MethodGet, Target: "/", Header: http.Header{standin.RequestIDHeader: {id}}})
+					require.NoError(f.t, err)
+					time.AfterFunc(3*time.Second, resp.Close)
+				}
+			}
+		}},
+		"no slot of a brittle upstream": {2, 0, func(f *fixture) {
+			f.leases.free = 2
+			for _, runner := range f.runners {
+				runner.SetBrittle(1)
+			}
+			f.do(f.request(http.MethodGet, "/scan/x", "first", ""))
+		}, func(f *fixture, _ *standin.Runner) { f.handler.SlotLeases = &fakeLeases{} }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runners []string
+			for n := range test.runners {
+				runners = append(runners, fmt.Sprint("mailbox-", n+1))
+			}
+			runFixture(t, runners, func(t *testing.T, f *fixture) {
+				test.prepare(f)
+				silent, asked := &silentUpstream{silence: 1500 * time.Millisecond}, atomic.Int32{}
+				if test.onSilence != nil {
+					silent.onSilence = func(u *standin.Runner) { test.onSilence(f, u) }
+				}
+				f.setBehaviors(func(u *standin.Runner) standin.Behavior {
+					behavior := silent.behavior(u)
+					return func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+						if asked.Add(1) > test.replaced {
+							return behavior(w, r, body)
+						}
+						w.Header().Set(standin.UpstreamIDHeader, "another")
+						w.WriteHeader(http.StatusMisdirectedRequest)
+						return true
+					}
+				})
+				got := f.do(f.request(http.MethodGet, "/scan/x", "r1", ""))
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusOK, got.status, got.body)
+				require.Equal(t, 1, f.runCount("r1"))
+			})
+		})
+	}
+}
