--- a/jackdawd/internal/exchange/client.go
+++ b/jackdawd/internal/exchange/client.go
@@ -194,6 +194,13 @@
 	return nil
 }
 
+// HasRoom reports whether a request with a maximum number of connections to an address may get one.
+func (c *Client) HasRoom(address string, maxConnections int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maxConnections <= 0 || len(c.idle[address]) > 0 || c.open[address] < maxConnections
+}
+
 // popIdle takes the most recently used connection from the pool; nil if it has been idle for too
 // long.
 func (c *Client) popIdle(req Request) *conn {
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -95,7 +95,10 @@
 	}
 	defer func() { j.endAttempt(complete) }()
 	var ok bool
-	if release, ok = j.takeBrittle(u, own); !ok {
+	if release, ok = j.reserved, j.reserved != nil; !ok {
+		release, ok = j.takeBrittle(u, own)
+	}
+	if j.reserved = nil; !ok {
 		return result{verdict: unsent, err: errNoRoomAtBrittle}
 	}
 	if _, quarantined := j.findQuarantined(); quarantined && !j.probing {
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -78,6 +78,8 @@
 	current *traffic.Upstream
 	// successor takes the request over from the current upstream, with a retry taken from the budget; nil for none.
 	successor *candidate
+	// reserved gives back the place at the successor, or at the next upstream until its attempt begins; nil for none.
+	reserved func()
 	// ahead forwards the response of the current upstream if it is read ahead; else nil.
 	ahead *readAhead
 	// attempted holds the upstreams that were sent the request or could not be reached.
@@ -184,6 +186,7 @@
 		j.refuse(refusal)
 		return
 	}
+	defer j.releaseReserved()
 	var last result
 	for range maxAttempts {
 		upstream := j.nextUpstream()
@@ -342,12 +345,15 @@
 	return min(w.Urgency*urgenciesPerWorkspace+min(r.Urgency, urgenciesPerWorkspace-1), lowestUrgency)
 }
 
+// maxConnections returns the maximum number of this host's connections to an upstream; 0 means no bound.
+func (j *job) maxConnections() int { return j.pool.MaxConnections / hostConnectionDivisor }
+
 // upstreamRequest returns the request to an upstream.
 func (j *job) upstreamRequest(u *traffic.Upstream) exchange.Request {
 	req := exchange.Request{
 		Address: u.Address, Upstream: u.Instance(), ID: j.request.ID, Method: j.r.Method, Target: requestTarget(j.r), Host: j.r.Host,
 		Header: j.Protocol.UpstreamHeader(j.r.Header, j.forwardMetadata(u)), Body: j.body,
-		MaxConnections: j.pool.MaxConnections / hostConnectionDivisor,
+		MaxConnections: j.maxConnections(),
 		HeaderTimeout:  j.firstByteTimeout(j.sentCount + 1),
 		OnConnected:    func(through string) { j.recordConnected(u, through) },
 		AbortOnTimeout: func() bool { return !j.isFull(u) && !j.isCallerBehind() && j.findSuccessor() },
--- a/jackdawd/internal/relay/successor.go
+++ b/jackdawd/internal/relay/successor.go
@@ -11,6 +11,10 @@
 	reasonFull = "upstreams-full"
 	// reasonAvoided is the reason if all upstreams that could take a request over are avoided for recent failures.
 	reasonAvoided = "upstreams-avoided"
+	// reasonAttemptsBounded is the reason if the request was tried as often as it may be.
+	reasonAttemptsBounded = "attempts-bounded"
+	// reasonConnectionsBounded is the reason if this host uses its share of connections to the upstream.
+	reasonConnectionsBounded = "connections-bounded"
 	// reasonBudgetSpent is the reason if the budget allows no retry.
 	reasonBudgetSpent = "budget-spent"
 )
@@ -44,22 +48,50 @@
 }
 
 // successorDenial returns the reason why a candidate does not take the request over, or "" if it does. It then takes
-// a retry from the budget, and a cold candidate's limit. The limit comes last, as it was not reached a moment ago.
+// all that the next attempt needs.
 func (j *job) successorDenial(c candidate) string {
 	_, quarantined := j.findQuarantined()
 	switch {
 	case quarantined:
 		return reasonQuarantined
+	case len(j.attempted) >= maxAttempts:
+		return reasonAttemptsBounded
 	case c.upstream == nil:
 		return reasonNoUpstream
 	case c.avoided:
 		return reasonAvoided
 	case j.isFull(c.upstream) || j.wouldStartTooLate(c.upstream, c.choice.MaxDelay):
 		return reasonFull
+	case !j.Client.HasRoom(c.upstream.Address, j.maxConnections()):
+		return reasonConnectionsBounded
+	case !j.RetryBudgets.Allows(time.Now(), j.pool.Name):
+		return reasonBudgetSpent
+	}
+	return j.takeSuccessor(c)
+}
+
+// takeSuccessor takes a place at a candidate if it is brittle, a retry from the budget, and the candidate's limit if
+// it is cold. It returns the reason why it can't, or "". The budget and the limit come last, as they were not reached a
+// moment ago and nothing gives them back.
+func (j *job) takeSuccessor(c candidate) string {
+	release, ok := j.takeBrittle(c.upstream, int(j.Loads.Load(time.Now(), c.upstream).Own)+1)
+	switch {
+	case !ok:
+		return reasonBrittle
 	case !j.RetryBudgets.TryWithdraw(time.Now(), j.pool.Name):
+		release()
 		return reasonBudgetSpent
 	case !j.takeCold(c):
+		release()
 		return reasonCold
 	}
+	j.reserved = release
 	return ""
 }
+
+// releaseReserved gives back the place that was reserved for an attempt that did not take place.
+func (j *job) releaseReserved() {
+	if j.reserved != nil {
+		j.reserved()
+	}
+}
