--- a/jackdawd/internal/relay/budgets.go
+++ b/jackdawd/internal/relay/budgets.go
@@ -47,14 +47,15 @@
 	return b
 }
 
-// SetRatio changes the fleet's retry ratio and window; other values reset all budgets.
+// SetRatio changes the fleet's retry ratio and window. Requests and retries within the new window still count.
 func (b *RetryBudgets) SetRatio(ratio float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if ratio == b.ratio && window == b.window && b.byPool != nil {
-		return
-	}
+	before := b.byPool
 	b.ratio, b.window, b.byPool = ratio, window, map[string]*retryWindow{}
+	for name, w := range before {
+		b.pool(name).add(w)
+	}
 }
 
 // Deposit counts a request to a pool.
@@ -115,6 +116,15 @@
 	return s
 }
 
+// add adds the slots of another window; of those that would share a place the latest one is kept.
+func (w *retryWindow) add(other *retryWindow) {
+	for _, s := range other.slots {
+		if place := &w.slots[int(s.number%int64(len(w.slots)))]; s.number > place.number {
+			*place = s
+		}
+	}
+}
+
 // count returns the requests and retries up to a slot. Retries count for a slot longer than requests,
 // so that the ratio holds for windows that begin within a slot.
 func (w *retryWindow) count(current int64) (requests, retries int) {
