--- a/common/wire/silence.go
+++ b/common/wire/silence.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// keepAliveProbes is how many probes of an idle connection may stay unanswered until it ends.
-const keepAliveProbes = 2
+// minKeepAliveProbes is how many probes of an idle connection at least may stay unanswered until it ends.
+const minKeepAliveProbes = 2
 
 // checksPerSilence is how often a connection is checked within the time for which its peer may be silent.
 const checksPerSilence = 3
@@ -90,11 +90,12 @@
 }
 
 // keepAlive returns settings by which probes give up after the same time as TCP_USER_TIMEOUT. That
-// decides whatever the number of probes is, so a longer time here would not hold.
+// decides whatever the number of probes is, so a longer time here would not hold. A connection ends once as many probes
+// in a row are lost, so it outlives losses of up to the time between the first and the last one.
 func keepAlive(silence time.Duration) net.KeepAliveConfig {
-	step := (silence / (keepAliveProbes + 1)).Truncate(time.Second)
+	step := (silence / (minKeepAliveProbes + 1)).Truncate(time.Second)
 	step = max(step, time.Second)
-	return net.KeepAliveConfig{Enable: true, Idle: step, Interval: step, Count: keepAliveProbes}
+	return net.KeepAliveConfig{Enable: true, Idle: step, Interval: step, Count: max(int(silence/step)-1, 1)}
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT.
--- a/jackdawd/internal/exchange/conn.go
+++ b/jackdawd/internal/exchange/conn.go
@@ -18,8 +18,9 @@
 	dialTimeout = 700 * time.Millisecond
 	// maxSilence ends a connection whose peer acknowledges nothing, neither data nor keep-alive
 	// probes. Without it a request to an upstream behind a network partition would wait until its
-	// deadline. Sound upstreams are silent for a second at times.
-	maxSilence = 3 * time.Second
+	// deadline. Packets are lost for 1.5 s at times; the kernel probes once a second, so that it needs three
+	// probes to outlive that.
+	maxSilence = 4 * time.Second
 )
 
 // conn is one connection to an upstream.
--- a/jackdawd/internal/transit/server.go
+++ b/jackdawd/internal/transit/server.go
@@ -18,8 +18,9 @@
 	// serverDialTimeout bounds the time to reach an upstream for another host, which may ask
 	// others.
 	serverDialTimeout = 300 * time.Millisecond
-	// maxSilence ends a tunnel whose host acknowledges nothing, so that the upstream stops working.
-	maxSilence = 3 * time.Second
+	// maxSilence ends a tunnel whose host acknowledges nothing, so that the upstream stops working. It is that of
+	// connections to upstreams.
+	maxSilence = 4 * time.Second
 	// endTimeout is how long the other host may take to close a connection that the upstream has
 	// ended.
 	endTimeout = time.Second
