--- a/common/wire/silence.go
+++ b/common/wire/silence.go
@@ -14,7 +14,7 @@
 const minKeepAliveProbes = 2
 
 // checksPerSilence is how often a connection is checked within the time for which its peer may be silent.
-const checksPerSilence = 3
+const checksPerSilence = 8
 
 // NewDialer returns a dialer for TCP whose connections end once the peer has acknowledged nothing for
 // a time, be it data or probes of an idle connection; connect bounds the time to open them. The kernel
@@ -78,15 +78,15 @@
 	unanswered int
 }
 
-// isSilent reports whether the peer is silent. One check is not enough: the kernel sends few probes to a peer that has
-// not read for long, so that its last acknowledgement may be old whenever one is on its way.
+// isSilent reports whether the peer is silent. The age of its last acknowledgement does not tell: there may have been
+// nothing to acknowledge since, and the kernel sends few probes to a peer that has not read for long.
 func (w *silenceWatch) isSilent(info *unix.TCPInfo) bool {
 	if info.Unacked == 0 && info.Probes == 0 {
 		w.unanswered = 0
 		return false
 	}
 	w.unanswered++
-	return w.unanswered > 1 && time.Duration(info.Last_ack_recv)*time.Millisecond >= w.silence
+	return w.unanswered > checksPerSilence && time.Duration(info.Last_ack_recv)*time.Millisecond >= w.silence
 }
 
 // keepAlive returns settings by which probes give up after the same time as TCP_USER_TIMEOUT. That
