--- a/jackdawd/internal/transit/dialer_test.go
+++ b/jackdawd/internal/transit/dialer_test.go
@@ -404,3 +404,26 @@
 		require.Empty(t, f.paths.lost())
 	})
 }
+
+// Guards against a response that is cut off because its upstream responds to a long request early and closes the
+// connection: only the rest of the request is lost.
+func TestEarlyResponsePassesThroughOtherHost(t *testing.T) {
+	runFixture(t, []string{"entry-2"}, func(t *testing.T, f *fixture) {
+		f.net.CutRoute(origin, upstreamAddress, network.Hang)
+		conn, upstream, _ := f.dial()
+		go func() { _, _ = conn.Write(make([]byte, 1<<20)) }()
+		_, err := io.ReadFull(upstream, make([]byte, 100))
+		require.NoError(t, err)
+		_, err = io.WriteString(upstream, "response")
+		require.NoError(t, err)
+		require.NoError(t, upstream.Close())
+		// The host reads the response only now.
+		time.Sleep(100 * time.Millisecond)
+		response, err := io.ReadAll(conn)
+		require.NoError(t, err)
+		require.Equal(t, "response", string(response))
+		require.NoError(t, conn.Close())
+		synctest.Wait()
+		require.Zero(t, f.servers["entry-2"].Tunnels())
+	})
+}
