--- a/jackdawd/internal/transit/server.go
+++ b/jackdawd/internal/transit/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -56,6 +57,8 @@
 	peer, upstream net.Conn
 	// writeMu guards writes to peer.
 	writeMu sync.Mutex
+	// isWriting is set while a write to the upstream is in progress, and stays set once one has failed.
+	isWriting atomic.Bool
 }
 
 // Tunnels returns the number of open tunnels.
@@ -94,12 +97,7 @@
 		return
 	}
 	var copying sync.WaitGroup
-	copying.Go(func() {
-		// Any end of the other host's bytes ends its request; closing the connection tells the
-		// upstream.
-		_, _ = io.Copy(writerOnly{t.upstream}, peer)
-		closeBoth(t.upstream, peer)
-	})
+	copying.Go(t.copyRequests)
 	t.copyResponses()
 	copying.Wait()
 }
@@ -169,6 +167,17 @@
 	delete(s.tunnels, t)
 }
 
+// copyRequests sends the other host's bytes to the upstream.
+func (t *tunnel) copyRequests() {
+	_, _ = io.Copy(requestWriter{t}, t.peer)
+	if t.isWriting.Load() {
+		// The upstream may have responded before it closed the connection. Its response must still pass.
+		_, _ = io.Copy(io.Discard, t.peer)
+	}
+	// Any end of the other host's bytes ends its request; closing the connection tells the upstream.
+	closeBoth(t.upstream, t.peer)
+}
+
 // copyResponses sends the upstream's bytes to the other host in frames.
 func (t *tunnel) copyResponses() {
 	buf := make([]byte, frameHeaderBytes+maxFrameBytes)
@@ -180,17 +189,30 @@
 				break
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		// A write that fails as the upstream has reset the connection takes the error from this read, which then
+		// returns io.EOF, too.
+		if errors.Is(err, io.EOF) && !t.isWriting.Load() {
 			t.end()
 			return
 		}
 		if err != nil {
-			break
+			t.cutOff()
+			return
 		}
 	}
 	closeBoth(t.peer, t.upstream)
 }
 
+// cutOff tells the other host that the response has ended without a proper end. Like end, it does not close the
+// connection at once, which would lose what is on its way.
+func (t *tunnel) cutOff() {
+	_ = t.upstream.Close()
+	peer, ok := t.peer.(interface{ CloseWrite() error })
+	if !ok || peer.CloseWrite() != nil || t.peer.SetReadDeadline(time.Now().Add(endTimeout)) != nil {
+		closeBoth(t.peer, t.upstream)
+	}
+}
+
 // end tells the other host that the upstream has ended the connection, and gives it time to read
 // everything: closing a connection with unread bytes would reset it.
 func (t *tunnel) end() {
@@ -212,5 +234,13 @@
 	return err
 }
 
-// writerOnly hides all other methods, so that io.Copy copies through its own buffer.
-type writerOnly struct{ io.Writer }
+// A requestWriter writes to the upstream. It has no other methods, so that io.Copy copies through its own buffer.
+type requestWriter struct{ tunnel *tunnel }
+
+// Write writes to the upstream.
+func (w requestWriter) Write(p []byte) (int, error) {
+	w.tunnel.isWriting.Store(true)
+	n, err := w.tunnel.upstream.Write(p)
+	w.tunnel.isWriting.Store(err != nil)
+	return n, err
+}
