--- a/jackdawd/internal/exchange/client_test.go
+++ b/jackdawd/internal/exchange/client_test.go
@@ -264,3 +264,37 @@
 	var mismatch *MismatchError
 	require.ErrorAs(t, err, &mismatch)
 }
+
+// Guards against a response without a length that is taken for whole although its connection was reset: the write of a
+// long request may take the error of the reset from the read of the response.
+func TestUnframedResponseDuringRequestIsUncertain(t *testing.T) {
+	const attempts = 20
+	address, conns := listen(t)
+	client := NewClient(platform.Protocol{}, nil)
+	defer client.Close()
+	served := make(chan error, 1)
+	for range attempts {
+		read := make(chan struct{})
+		go func() {
+			c := <-conns
+			_, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				_, err = io.WriteString(c, standin.ResponseHead(http.StatusOK, "1", "s")+"\r\nbody")
+			}
+			<-read
+			served <- errors.Join(err, c.(*net.TCPConn).SetLinger(0), c.Close())
+		}()
+		req := newRequest(address, "1")
+		req.Body = make([]byte, 32<<20)
+		resp, err := client.Do(t.Context(), req)
+		require.NoError(t, err)
+		_, err = io.ReadFull(resp, make([]byte, len("body")))
+		require.NoError(t, err)
+		close(read)
+		_, err = io.ReadAll(resp)
+		resp.Close()
+		require.NoError(t, <-served)
+		require.Error(t, err)
+		require.True(t, ClosedByPeer(err))
+	}
+}
