--- a/jackdawd/internal/exchange/response.go
+++ b/jackdawd/internal/exchange/response.go
@@ -127,6 +127,9 @@
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
 	switch {
+	case err == io.EOF && !r.Framed() && !r.isRequestWritten():
+		// The write takes the error of a reset from this read, which then returns io.EOF, too.
+		return n, r.interrupted(err)
 	case err == io.EOF:
 		r.complete = true
 		return n, io.EOF
@@ -165,9 +168,12 @@
 // connReusable reports whether the exchange is over: the response is complete and delimited, and the
 // request has been written.
 func (r *Response) connReusable() bool {
-	if !r.complete || r.resp.Close || !r.Framed() {
-		return false
-	}
+	// An upstream that waits for the rest of a body would take the next request for it.
+	return r.complete && !r.resp.Close && r.Framed() && r.isRequestWritten()
+}
+
+// isRequestWritten reports whether the whole request has been written.
+func (r *Response) isRequestWritten() bool {
 	if r.bodyWritten == nil {
 		return true
 	}
@@ -175,7 +181,6 @@
 	case <-r.bodyWritten:
 		return r.writeErr == nil
 	default:
-		// The upstream still waits for the rest of the body and would take the next request for it.
 		return false
 	}
 }
