--- a/jackdawd/internal/relay/silence_test.go
+++ b/jackdawd/internal/relay/silence_test.go
@@ -331,3 +331,42 @@
 		})
 	}
 }
+
+// Guards against a stream of a sound upstream that is cut off as the one that was to take it over rejects the request or
+// can't be reached.
+func TestStreamSurvivesFailedSuccessor(t *testing.T) {
+	for name, test := range map[string]struct {
+		reject bool
+		// onSilence is called as the silence begins.
+		onSilence func(f *fixture, silent *standin.Runner)
+	}{
+		"rejects": {true, func(*fixture, *standin.Runner) {}},
+		"can't be reached": {false, func(f *fixture, silent *standin.Runner) {
+			for _, u := range f.store.upstreams {
+				if f.runners[u.ID] != silent {
+					f.net.Kill(u.Address)
+				}
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFixture(t, []string{"reader-1", "reader-2", "reader-3"}, func(t *testing.T, f *fixture) {
+				silent := &silentUpstream{silence: 1900 * time.Millisecond, eventsBefore: 2, onSilence: func(u *standin.Runner) { test.onSilence(f, u) }}
+				f.setBehaviors(func(u *standin.Runner) standin.Behavior {
+					behavior := silent.behavior(u)
+					return func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+						if !silent.begun.Load() || !test.reject {
+							return behavior(w, r, body)
+						}
+						w.Header().Set(standin.NotExecutedHeader, "1")
+						w.WriteHeader(http.StatusServiceUnavailable)
+						return true
+					}
+				})
+				got := f.do(f.streamRequest("/digest/x", "r1", silentStreamEvents))
+				require.NoError(t, got.err)
+				require.Equal(t, eventRange(1, silentStreamEvents), got.body)
+			})
+		})
+	}
+}
