--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -409,12 +409,15 @@
 }
 
 // closeIdleConns closes callers' connections without a request and waits until the other ones have their responses,
-// of which the server writes the last part after the handler has returned.
+// of which the server writes the last part after the handler has returned. http.Server.Shutdown would drop requests
+// that have arrived and were not handled yet.
 func (h *Host) closeIdleConns(deadline time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := h.callerServer.Shutdown(ctx); err != nil {
-		logrus.WithError(err).Warn("entry: Closing connections whose responses are not written.")
+	for open := h.conns.stop(); open > 0; open = h.conns.stop() {
+		if !time.Now().Before(deadline) {
+			logrus.WithField("connections", open).Warn("entry: Closing connections whose responses are not written.")
+			return
+		}
+		time.Sleep(drainPollInterval)
 	}
 }
 
