--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -16,7 +16,7 @@
 
 const (
 	// firstByteTimeoutFactor is the multiple of its target after which a repeatable request leaves
-	// a silent upstream for another one.
+	// a silent upstream for another one if it is no stream, and any upstream is reported as silent.
 	firstByteTimeoutFactor = 2
 	// minFirstByteTimeout is the minimum of that timeout.
 	minFirstByteTimeout = 600 * time.Millisecond
@@ -33,6 +33,14 @@
 	if !j.mayFailOver(sent) {
 		return 0
 	}
+	if j.route.Kind == traffic.Streaming {
+		return j.eventTimeout()
+	}
+	return j.firstByteReportTime()
+}
+
+// firstByteReportTime returns how long an upstream may be silent before its first byte until it is reported.
+func (j *job) firstByteReportTime() time.Duration {
 	return max(firstByteTimeoutFactor*j.route.FirstByteTarget, minFirstByteTimeout)
 }
 
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -87,7 +87,7 @@
 	resp.SetReadTimeout(j.eventTimeout())
 }
 
-// eventTimeout returns how long the next event of a stream may take before the stream is resumed elsewhere.
+// eventTimeout returns how long the next event of a stream may take before the stream is sent elsewhere.
 func (j *job) eventTimeout() time.Duration {
 	callerGap := max(minCallerGap, callerTargetFactor*j.route.FirstByteTarget, callerGapFactor*j.route.EventIntervalTarget)
 	return max(callerGap/eventTimeoutDivisor, minEventTimeout)
--- a/jackdawd/internal/relay/watchdog.go
+++ b/jackdawd/internal/relay/watchdog.go
@@ -26,7 +26,7 @@
 	w := &watchdog{}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(max(firstByteTimeoutFactor*j.route.FirstByteTarget, minFirstByteTimeout), func() {
+	w.timer = time.AfterFunc(j.firstByteReportTime(), func() {
 		if !j.isFull(u) && w.stop() && ctx.Err() == nil {
 			j.Membership.Observe(u.Instance(), control.TimedOut)
 			// Connections that were idle before may be as dead as the one of this request.
