--- a/jackdawd/internal/fleet/load_bound_test.go
+++ b/jackdawd/internal/fleet/load_bound_test.go
@@ -156,3 +156,29 @@
 		}
 	}
 }
+
+// Guards against requests that collect at upstreams that are silent for a moment, while what hosts know of them stands
+// still.
+func TestLoadBoundInSilences(t *testing.T) {
+	for _, hosts := range []int{9, 87, 300} {
+		for name, load := range map[string]simulatedLoad{
+			"engines": {engines: 2 * min(hosts, 30), rate: 18.8 * float64(min(hosts, 30)), work: articleWorkload},
+			"service": {engines: 8, rate: 392, work: documentWorkload, withoutPlans: true},
+		} {
+			for _, ratio := range []float64{0.05, 0.2, 0.6} {
+				for _, silentFor := range []time.Duration{time.Second, 1500 * time.Millisecond} {
+					for often, every := range map[string]time.Duration{"once": 0, "each 3 s": 3 * time.Second} {
+						t.Run(fmt.Sprintf("%s/%d hosts/%.2f for %s %s", name, hosts, ratio, silentFor, often), func(t *testing.T) {
+							t.Parallel()
+							load.hosts, load.silentRatio, load.silentFor, load.silentEvery = hosts, ratio, silentFor, every
+							load.silentFrom, load.duration = 5*time.Second, 13*time.Second
+							worst := newSimulation(load, 1).run()
+							t.Logf("worst %.4f", worst)
+							require.Less(t, worst, maxOverRatio)
+						})
+					}
+				}
+			}
+		}
+	}
+}
