--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -168,6 +168,8 @@
 	// refuseAfterUnixNano is when a draining host starts to refuse requests; 0 while it is not
 	// draining.
 	refuseAfterUnixNano atomic.Int64
+	// acknowledged returns how many bytes the caller on the connection that a context carries has acknowledged.
+	acknowledged func(ctx context.Context) uint64
 	// aborted is done once Abort was called.
 	aborted context.Context
 	abort   context.CancelFunc
@@ -176,7 +178,7 @@
 // NewHandler returns a Handler with the given dependencies and settings.
 func NewHandler(o Options) *Handler {
 	aborted, abort := context.WithCancel(context.Background())
-	return &Handler{Options: o, tracer: otel.Tracer("jackdawd/relay"), aborted: aborted, abort: abort}
+	return &Handler{Options: o, tracer: otel.Tracer("jackdawd/relay"), acknowledged: acknowledgedBytes, aborted: aborted, abort: abort}
 }
 
 // InProgress returns the number of requests in progress.
--- a/jackdawd/internal/relay/read_ahead.go
+++ b/jackdawd/internal/relay/read_ahead.go
@@ -107,8 +107,8 @@
 	// unwritten is the number of bytes that were read but not written as the current write
 	// began.
 	unwritten int
-	// acknowledged is how much the caller has acknowledged; the budget's lock protects it.
-	acknowledged uint64
+	// acknowledgedBefore is how much the caller had acknowledged; the budget's lock protects it.
+	acknowledgedBefore uint64
 
 	// wakeReader wakes a reader that waits for room; nil without a reader.
 	wakeReader chan struct{}
@@ -337,7 +337,7 @@
 
 // join adds the response to the budget and watches for a caller that disconnects.
 func (a *readAhead) join() {
-	a.acknowledged, a.wakeReader = acknowledgedBytes(a.r.Context()), make(chan struct{}, 1)
+	a.acknowledgedBefore, a.wakeReader = a.acknowledged(a.r.Context()), make(chan struct{}, 1)
 	// The first bytes are in the buffer that each request has.
 	writing := int64(max(a.unwritten-readBufferBytes, 0))
 	holding := a.ReadAhead.Join(time.Now(), writing, a)
@@ -473,9 +473,9 @@
 
 // HasRead reports whether the caller has read anything since the previous call, as far as is known.
 func (a *readAhead) HasRead() bool {
-	previous := a.acknowledged
-	a.acknowledged = acknowledgedBytes(a.r.Context())
-	return a.acknowledged > previous
+	previous := a.acknowledgedBefore
+	a.acknowledgedBefore = a.acknowledged(a.r.Context())
+	return a.acknowledgedBefore > previous
 }
 
 // Cut cuts the response off.
