--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -100,6 +100,8 @@
 	status     int
 	splitter   events.Splitter
 
+	// writeDeadline bounds the writes of parts of a response.
+	writeDeadline writeDeadline
 	// cause is why the response is not complete, if it isn't; set once the request has ended.
 	cause EndCause
 	// watchdog reports the current upstream if it is silent for too long.
@@ -163,6 +165,8 @@
 	defer cancel()
 	stopAbort := context.AfterFunc(j.aborted, cancel)
 	defer stopAbort()
+	// The connection may serve the next request after this one.
+	defer j.stopWriteChecks()
 	ctx, span := j.tracer.Start(ctx, "relay", trace.WithAttributes(
 		attribute.String("request", j.request.ID), attribute.String("route", j.route.Name),
 	))
--- a/jackdawd/internal/relay/read_ahead.go
+++ b/jackdawd/internal/relay/read_ahead.go
@@ -464,8 +464,7 @@
 		return false
 	}
 	a.aborted, a.cut = true, cut
-	// Setting a deadline fails only on a closed connection, on which writes fail anyway.
-	_ = a.controller.SetWriteDeadline(time.Now())
+	a.setFinalWriteDeadline(time.Now())
 	a.changed.Broadcast()
 	a.RoomFreed()
 	return true
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -15,9 +15,6 @@
 	eventTimeoutFactor = 3
 	// minEventTimeout is the minimum of that timeout.
 	minEventTimeout = 800 * time.Millisecond
-	// writeTimeout bounds each write to a caller. A caller that stops reading would otherwise
-	// occupy an engine's slot forever.
-	writeTimeout = 10 * time.Second
 )
 
 var errTruncatedEvent = errors.New("the stream ended in the middle of an event")
@@ -103,11 +100,6 @@
 	return j.sendEvents(events)
 }
 
-// setWriteDeadline bounds a write that begins now.
-func (j *job) setWriteDeadline(now time.Time) error {
-	return j.controller.SetWriteDeadline(now.Add(writeTimeout))
-}
-
 // extendWriteDeadline lets the server write the end of a complete response, whose last part may have been written
 // long ago.
 func (j *job) extendWriteDeadline() {
@@ -115,8 +107,7 @@
 	if d := j.deadline.Add(responseGracePeriod); d.After(end) {
 		end = d
 	}
-	// Setting a deadline fails only on a closed connection, whose caller has left.
-	_ = j.controller.SetWriteDeadline(end)
+	j.setFinalWriteDeadline(end)
 }
 
 // sendEvents writes complete events and flushes them; the deadline must be set.
