--- a/jackdawd/internal/fleet/pool_admission_test.go
+++ b/jackdawd/internal/fleet/pool_admission_test.go
@@ -555,10 +555,17 @@
 				}
 				f.play(seconds*time.Second, test.perTick, nil)
 				most, sum, count := map[int]int64{}, map[int]int64{}, map[int]int64{}
+				readers := 0
 				for name, p := range f.running {
 					perSecond, n := (p.source.Bytes()-before[name])/seconds, followers[name]
 					most[n], sum[n], count[n] = max(most[n], perSecond), sum[n]+perSecond, count[n]+1
+					if _, hasParent := p.source.parent(); hasParent {
+						require.LessOrEqual(f.t, perSecond, int64(maxControlBytes), "%s with %d followers", name, n)
+						continue
+					}
+					readers++
 				}
+				require.LessOrEqual(f.t, readers, maxReaders)
 				for _, n := range slices.Sorted(maps.Keys(count)) {
 					f.t.Logf("%d hosts with %d followers: %d bytes per second, %d at most", count[n], n, sum[n]/count[n], most[n])
 				}
