--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -71,7 +71,8 @@
 }
 
 // runExchange computes plans while this host is the root of the region, and exchanges with the root
-// while this host is the other reader, which follows no host. It runs until the context ends.
+// while this host reads the store and no parent answers its calls, which contain the same report.
+// It runs until the context ends.
 func (s *Source) runExchange(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -84,7 +85,7 @@
 				s.computePlan(time.Now())
 			}
 			pause.For(ctx, planInterval-time.Since(now))
-		case s.following.Load() == nil:
+		case s.following.Load() == nil && !s.isAnswered(now):
 			s.exchangeWith(ctx, root)
 		default:
 			pause.For(ctx, planInterval)
@@ -92,6 +93,13 @@
 	}
 }
 
+// isAnswered reports whether this host has a parent that answers its calls, although it may not follow
+// it yet.
+func (s *Source) isAnswered(now time.Time) bool {
+	_, hasParent := s.directory.Parent(now)
+	return hasParent && s.options.Uptime()-time.Duration(s.answeredAt.Load()) <= maxCallTimeout
+}
+
 // exchangeArgs returns the report of this host and its children to its parent, and records what it
 // contains as reported.
 func (s *Source) exchangeArgs(now time.Time, parent Peer) ExchangeArgs {
--- a/jackdawd/internal/fleet/follow.go
+++ b/jackdawd/internal/fleet/follow.go
@@ -153,6 +153,7 @@
 	if reply.Behind > c.maxPeerConfigurationAge() || reply.ListBehind > c.maxPeerListAge() {
 		return nil, 0, &StaleError{Host: parent.Name, Behind: max(reply.Behind, reply.ListBehind)}
 	}
+	c.answeredAt.Store(int64(c.options.Uptime()))
 	c.applyExchange(time.Now(), &reply.Exchange)
 	if !reply.HostsUntil.IsZero() && c.directory.Merge(reply.Hosts, reply.HostsWhole, reply.HostsUntil) {
 		c.registrationMissing.Store(true)
--- a/jackdawd/internal/fleet/limits.go
+++ b/jackdawd/internal/fleet/limits.go
@@ -26,6 +26,10 @@
 	configurationAgeSlack = 300 * time.Millisecond
 	// listAgeSlack is how much older than its read interval a reader's list of upstreams may be.
 	listAgeSlack = 400 * time.Millisecond
+	// handoverWait is how much later a host reads the list of upstreams from the store if the list
+	// that its parent sent was older than its own, so that the parent's next list is newer even if
+	// both read in step. The host's own list stays recent enough for its followers.
+	handoverWait = listAgeSlack / 2
 	// maxListRetryWait is how long a host that has lost the store waits at most before it reads the
 	// list of upstreams again.
 	maxListRetryWait = 4 * time.Second
--- a/jackdawd/internal/fleet/listguard.go
+++ b/jackdawd/internal/fleet/listguard.go
@@ -15,6 +15,8 @@
 	// reading is set while the store is read; asOf is when the current list was read.
 	reading bool
 	asOf    time.Duration
+	// skipped is set if a list of the parent was skipped since takeSkipped was last called.
+	skipped bool
 }
 
 // beginRead reports whether the store may be read, which it may not while another host is followed.
@@ -40,13 +42,23 @@
 func (g *listGuard) tryReplace(asOf time.Duration, follow func()) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.reading || asOf < g.asOf {
+	g.skipped = g.reading || asOf < g.asOf
+	if g.skipped {
 		return false
 	}
 	follow()
 	return true
 }
 
+// takeSkipped reports whether a list of the parent was skipped since the last call.
+func (g *listGuard) takeSkipped() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	skipped := g.skipped
+	g.skipped = false
+	return skipped
+}
+
 // recordChange records the time of changes received from the parent.
 func (g *listGuard) recordChange(at time.Duration) {
 	g.mu.Lock()
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -133,6 +133,8 @@
 	startWaitUntil       time.Time
 	// following is the host that is followed, nil while the store is read.
 	following atomic.Pointer[Peer]
+	// answeredAt is when the parent last answered, on the clock of Uptime.
+	answeredAt atomic.Int64
 
 	// The next fields belong to the goroutine that reads configurations. askedHost is the host
 	// called last; needsFullList is set until its complete list of upstreams has been accepted.
@@ -229,6 +231,7 @@
 	s.knownNotices.positions = map[string]traffic.LogPosition{}
 	s.listGuard.asOf, s.pendingListTime = unknownTime, unknownTime
 	s.listTime.Store(int64(o.Uptime() - unknownAge))
+	s.answeredAt.Store(int64(unknownTime))
 	s.upstreamInterval.Store(int64(defaultUpstreamInterval))
 	return s
 }
--- a/jackdawd/internal/fleet/upstreams.go
+++ b/jackdawd/internal/fleet/upstreams.go
@@ -81,15 +81,21 @@
 	if wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
-		select {
-		case update := <-u.changes:
-			// This update was received before the next read of the store was due.
-			change, _ := u.receive(update)
-			return change, nil
-		case <-recovered:
-		case <-timer.C:
-		case <-ctx.Done():
-			return traffic.UpstreamChange{}, ctx.Err()
+		for waiting, postponed := true, false; waiting; {
+			select {
+			case update := <-u.changes:
+				// This update was received before the next read of the store was due.
+				change, _ := u.receive(update)
+				return change, nil
+			case <-recovered:
+				waiting = false
+			case <-timer.C:
+				waiting = !postponed && u.listGuard.takeSkipped()
+				postponed = true
+				timer.Reset(handoverWait)
+			case <-ctx.Done():
+				return traffic.UpstreamChange{}, ctx.Err()
+			}
 		}
 	}
 	if !u.listGuard.beginRead(&u.following) {
