--- a/jackdawd/internal/fleet/exchange.go
+++ b/jackdawd/internal/fleet/exchange.go
@@ -107,7 +107,7 @@
 	defer s.reportMu.Unlock()
 	if parent.Name != s.reportedTo || now.Sub(s.reportedAt) > childStateTTL {
 		// The parent has no state of this host, or it has expired.
-		s.reportedTo, s.reported = parent.Name, reportedCounts{}
+		s.reportedTo, s.reported, s.parentKeepsDemand = parent.Name, reportedCounts{}, false
 	}
 	s.setCountingParent(parent)
 	// The parent's own report is excluded: while two hosts each take the other for their parent it
@@ -126,12 +126,18 @@
 		PlanAge: unknownAge,
 		Steps:   s.subtree.depth(now),
 	}
-	if sum.Demand != nil {
-		args.Demand = sum.Demand.Encode()
-	}
-	if plan, computedAt := s.options.Plans.Plan(now); plan != nil {
+	plan, computedAt := s.options.Plans.Plan(now)
+	if plan != nil {
 		args.PlanAge = now.Sub(computedAt)
 	}
+	switch {
+	case sum.Demand == nil:
+	case s.parentKeepsDemand && s.demandPlanAt.Equal(computedAt) && now.Sub(s.demandSentAt) < planInterval:
+		// Levels are computed with plans, so a demand is sent once per plan.
+		args.DemandKept = true
+	default:
+		args.Demand, s.demandSentAt, s.demandPlanAt = sum.Demand.Encode(), now, computedAt
+	}
 	s.reportedAt = now
 	return args
 }
@@ -197,7 +203,7 @@
 
 // exchangeReply returns what a child that called at the given time does not have yet.
 func (s *Source) exchangeReply(now, calledAt time.Time, args *ExchangeArgs) ExchangeReply {
-	reply := ExchangeReply{Scores: encodeScores(s.subtree.scores(now))}
+	reply := ExchangeReply{Scores: encodeScores(s.subtree.scores(now)), KeepsDemand: args.DemandKept || len(args.Demand) > 0}
 	if s.hasPlanFor(now, calledAt, args) {
 		plan, computedAt := s.options.Plans.Plan(now)
 		reply.Plan, reply.PlanAge = plan, now.Sub(computedAt)
@@ -221,6 +227,9 @@
 	if reply.Plan != nil {
 		s.options.Plans.ApplyPlan(reply.Plan, now.Add(-reply.PlanAge))
 	}
+	s.reportMu.Lock()
+	defer s.reportMu.Unlock()
+	s.parentKeepsDemand = reply.KeepsDemand
 }
 
 // exchangeWith makes one exchange with the root of the region, which answers when it has computed a
--- a/jackdawd/internal/fleet/messages.go
+++ b/jackdawd/internal/fleet/messages.go
@@ -116,9 +116,11 @@
 	PlanAge time.Duration
 	// Steps is the number of levels below the host.
 	Steps int
-	// Demand is the encoded overload.Demand of the host and its children; nil if there is none. As the last field it
-	// does not change how the others are encoded.
+	// Demand is the encoded overload.Demand of the host and its children; nil if there is none. After the
+	// fields that hosts without it send, it does not change how those are encoded.
 	Demand []byte
+	// DemandKept is set if Demand is left out and the one last sent is still valid.
+	DemandKept bool
 }
 
 // ExchangeReply is what the parent passes down.
@@ -129,6 +131,9 @@
 	// PlanAge is the time since it was computed.
 	Plan    *placement.Plan
 	PlanAge time.Duration
+	// KeepsDemand is set if the parent keeps the host's demand for calls that leave it out. Parents of
+	// earlier builds do not.
+	KeepsDemand bool
 }
 
 // Scores are failure scores of upstreams in wire format: a 4-byte hash and a 1-byte score each.
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -163,6 +163,11 @@
 	reportedTo string
 	reported   reportedCounts
 	reportedAt time.Time
+	// demandSentAt is when the parent was last sent the demand, demandPlanAt when the plan that this host
+	// had then was computed. parentKeepsDemand is set if the parent keeps the demand for calls that leave
+	// it out.
+	demandSentAt, demandPlanAt time.Time
+	parentKeepsDemand          bool
 	// countingParent is the host that counts the reported requests.
 	countingParent Peer
 	// state is the configuration and the upstreams that this host has.
--- a/jackdawd/internal/fleet/subtree.go
+++ b/jackdawd/internal/fleet/subtree.go
@@ -54,7 +54,9 @@
 	})
 	c.inProgress.Prompts = map[uint32]int{}
 	args.Prompts.each(func(prompt uint32, requests int) { c.inProgress.Prompts[prompt] = requests })
-	c.inProgress.Demand = decodeDemand(args)
+	if !args.DemandKept {
+		c.inProgress.Demand = decodeDemand(args)
+	}
 	c.lastCall, c.scores, c.depth = now, args.Scores.decode(), min(max(args.Steps, 0), maxDepth)
 	t.children[args.Host] = c
 	t.reported.raise()
