--- a/jackdawd/internal/placement/silent.go
+++ b/jackdawd/internal/placement/silent.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +28,8 @@
 	// maxSilentDivisor limits the upstreams that are left out as silent to 1 in 3. If more of them respond late, all
 	// have too much to do, and the others would get more.
 	maxSilentDivisor = 3
+	// maxSilenceReports bounds the reports of one message, and so the traffic when many upstreams are silent.
+	maxSilenceReports = 16
 	// heardTTL is how long the time of an upstream's last response is kept; reports from before it have expired.
 	heardTTL = time.Minute
 )
@@ -170,7 +174,8 @@
 	return s.reportsFrom(now, minSilenceReporters), s.foundVersion
 }
 
-// reportsFrom returns the reports of upstreams with at least the given number of them; the lock must be held.
+// reportsFrom returns the reports of upstreams with at least the given number of them, the latest maxSilenceReports; the
+// lock must be held.
 func (s *SilentUpstreams) reportsFrom(now time.Time, minReporters int) []SilenceReport {
 	var reports []SilenceReport
 	for upstream, byHost := range s.reports {
@@ -183,7 +188,8 @@
 			}
 		}
 	}
-	return reports
+	slices.SortFunc(reports, func(a, b SilenceReport) int { return cmp.Compare(a.Age, b.Age) })
+	return reports[:min(len(reports), maxSilenceReports)]
 }
 
 // Changed returns the versions of the reports of this host and its children and of those that Found returns, and a channel that is closed at the next change.
--- a/jackdawd/internal/placement/silent_test.go
+++ b/jackdawd/internal/placement/silent_test.go
@@ -64,3 +64,14 @@
 		require.EqualValues(t, 1, version)
 	}
 }
+
+// Guards against messages that grow with the number of silent upstreams.
+func TestSilenceReportsAreBounded(t *testing.T) {
+	now, s := time.Unix(1_800_000_000, 0), NewSilentUpstreams("entry-0")
+	for i := range 100 {
+		s.RecordOverdue(now.Add(time.Duration(i)*time.Millisecond), &traffic.Upstream{Hash: uint64(i)}, now.Add(-time.Second))
+	}
+	reports := s.Reports(now.Add(100 * time.Millisecond))
+	require.Len(t, reports, maxSilenceReports)
+	require.EqualValues(t, 99, reports[0].Upstream, "the latest ones count longest")
+}
