--- a/jackdawd/internal/relay/silence_test.go
+++ b/jackdawd/internal/relay/silence_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -210,3 +212,38 @@
 		require.Len(t, f.runners[silent.ID].Runs(), runs)
 	})
 }
+
+// Guards against a request that is sent on to another upstream after its caller has left during a silence, and against
+// one that must not run twice but does so because of a silence.
+func TestSilenceStartsNoFurtherRuns(t *testing.T) {
+	for name, test := range map[string]struct {
+		path         string
+		runners      []string
+		eventsBefore int
+		patience     time.Duration
+		wantErr      bool
+		runs         int
+	}{
+		"caller of a stream leaves":     {"/digest/x", []string{"reader-1", "reader-2"}, 2, 1500 * time.Millisecond, true, 1},
+		"caller leaves before an event": {"/digest/x", []string{"reader-1", "reader-2"}, 0, 1500 * time.Millisecond, true, 0},
+		"caller of a response leaves":   {"/scan/x", []string{"mailbox-1", "mailbox-2"}, 0, 500 * time.Millisecond, true, 0},
+		"must not run twice":            {"/order/x", []string{"mailbox-1", "mailbox-2"}, 0, 5 * time.Second, false, 1},
+		"stream that can't be resumed":  {"/sort/x", []string{"reader-1", "reader-2"}, 2, 5 * time.Second, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFixture(t, test.runners, func(t *testing.T, f *fixture) {
+				f.setBehaviors((&silentUpstream{silence: 1900 * time.Millisecond, eventsBefore: test.eventsBefore}).behavior)
+				ctx, cancel := context.WithTimeout(t.Context(), test.patience)
+				defer cancel()
+				req := f.request(http.MethodGet, test.path, "r1", "")
+				if strings.HasPrefix(test.runners[0], "reader") {
+					req = f.streamRequest(test.path, "r1", silentStreamEvents)
+				}
+				got := f.do(req.WithContext(ctx))
+				require.Equal(t, test.wantErr, got.err != nil, got.err)
+				time.Sleep(5 * time.Second)
+				require.Equal(t, test.runs, f.runCount("r1"))
+			})
+		})
+	}
+}
