--- a/jackdawd/internal/relay/silence_test.go
+++ b/jackdawd/internal/relay/silence_test.go
@@ -247,3 +247,19 @@
 		})
 	}
 }
+
+// Guards against looks for a successor that use up the room of cold upstreams although no retry is left.
+func TestSuccessorIsNotChosenInVain(t *testing.T) {
+	runFixture(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+		silent := &silentUpstream{silence: 3 * time.Second, eventsBefore: 2, onSilence: func(*standin.Runner) {
+			for f.handler.RetryBudgets.TryWithdraw(time.Now(), "reader") {
+			}
+		}}
+		f.setBehaviors(silent.behavior)
+		f.store.updateUpstreams(func(u *traffic.Upstream) { u.ColdFor = time.Minute })
+		_ = f.do(f.streamRequest("/digest/x", "r1", silentStreamEvents))
+		for _, step := range f.recorder.lastRecord().Steps {
+			require.False(t, step.Decision == Kept && step.Candidates > 0, "an upstream was chosen")
+		}
+	})
+}
