--- a/jackdawd/internal/relay/budgets.go
+++ b/jackdawd/internal/relay/budgets.go
@@ -64,6 +64,13 @@
 	b.pool(pool).slot(now).requests++
 }
 
+// CanWithdraw reports whether the budget of a pool allows a retry.
+func (b *RetryBudgets) CanWithdraw(now time.Time, pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.remaining(now, b.pool(pool)) >= 1
+}
+
 // TryWithdraw counts a retry at a pool and reports whether the budget allows it.
 func (b *RetryBudgets) TryWithdraw(now time.Time, pool string) bool {
 	b.mu.Lock()
--- a/jackdawd/internal/relay/successor.go
+++ b/jackdawd/internal/relay/successor.go
@@ -30,8 +30,12 @@
 // A sound upstream may be silent for a moment, so that the response is only given up for one that is likely to
 // continue it.
 func (j *job) findSuccessor() bool {
-	c := j.findCandidate()
-	reason := j.successorDenial(c)
+	c, reason := candidate{}, reasonBudgetSpent
+	// A candidate that is cold has less room from now on, so that none is looked for without a retry.
+	if j.RetryBudgets.CanWithdraw(time.Now(), j.pool.Name) {
+		c = j.findCandidate()
+		reason = j.successorDenial(c)
+	}
 	if reason == "" {
 		j.successor = &c
 		return true
