--- a/jackdawd/internal/relay/budgets.go
+++ b/jackdawd/internal/relay/budgets.go
@@ -65,8 +65,8 @@
 	b.pool(pool).slot(now).requests++
 }
 
-// Allows reports whether the budget allows a retry at a pool.
-func (b *RetryBudgets) Allows(now time.Time, pool string) bool {
+// CanWithdraw reports whether the budget of a pool allows a retry.
+func (b *RetryBudgets) CanWithdraw(now time.Time, pool string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.remaining(now, b.pool(pool)) >= 1
--- a/jackdawd/internal/relay/silence_test.go
+++ b/jackdawd/internal/relay/silence_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -399,3 +401,54 @@
 		require.Len(t, f.runners[silent.ID].Runs(), runs)
 	})
 }
+
+// Guards against a request that is sent on to another upstream after its caller has left during a silence, and against
+// one that must not run twice but does so because of a silence.
+func TestSilenceStartsNoFurtherRuns(t *testing.T) {
+	for name, test := range map[string]struct {
+		path         string
+		runners      []string
+		eventsBefore int
+		patience     time.Duration
+		wantErr      bool
+		runs         int
+	}{
+		"caller of a stream leaves":     {"/digest/x", []string{"reader-1", "reader-2"}, 2, 1500 * time.Millisecond, true, 1},
+		"caller leaves before an event": {"/digest/x", []string{"reader-1", "reader-2"}, 0, 1500 * time.Millisecond, true, 0},
+		"caller of a response leaves":   {"/scan/x", []string{"mailbox-1", "mailbox-2"}, 0, 500 * time.Millisecond, true, 0},
+		"must not run twice":            {"/order/x", []string{"mailbox-1", "mailbox-2"}, 0, 5 * time.Second, false, 1},
+		"stream that can't be resumed":  {"/sort/x", []string{"reader-1", "reader-2"}, 2, 5 * time.Second, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFixture(t, test.runners, func(t *testing.T, f *fixture) {
+				f.setBehaviors((&silentUpstream{silence: 1900 * time.Millisecond, eventsBefore: test.eventsBefore}).behavior)
+				ctx, cancel := context.WithTimeout(t.Context(), test.patience)
+				defer cancel()
+				req := f.request(http.MethodGet, test.path, "r1", "")
+				if strings.HasPrefix(test.runners[0], "reader") {
+					req = f.streamRequest(test.path, "r1", silentStreamEvents)
+				}
+				got := f.do(req.WithContext(ctx))
+				require.Equal(t, test.wantErr, got.err != nil, got.err)
+				time.Sleep(5 * time.Second)
+				require.Equal(t, test.runs, f.runCount("r1"))
+			})
+		})
+	}
+}
+
+// Guards against looks for a successor that use up the room of cold upstreams although no retry is left.
+func TestSuccessorIsNotChosenInVain(t *testing.T) {
+	runFixture(t, []string{"reader-1", "reader-2"}, func(t *testing.T, f *fixture) {
+		silent := &silentUpstream{silence: 3 * time.Second, eventsBefore: 2, onSilence: func(*standin.Runner) {
+			for f.handler.RetryBudgets.TryWithdraw(time.Now(), "reader") {
+			}
+		}}
+		f.setBehaviors(silent.behavior)
+		f.store.updateUpstreams(func(u *traffic.Upstream) { u.ColdFor = time.Minute })
+		_ = f.do(f.streamRequest("/digest/x", "r1", silentStreamEvents))
+		for _, step := range f.recorder.lastRecord().Steps {
+			require.False(t, step.Decision == Kept && step.Candidates > 0, "an upstream was chosen")
+		}
+	})
+}
--- a/jackdawd/internal/relay/successor.go
+++ b/jackdawd/internal/relay/successor.go
@@ -34,8 +34,12 @@
 // A sound upstream may be silent for a moment, so that the response is only given up for one that is likely to
 // continue it.
 func (j *job) findSuccessor() bool {
-	c := j.findCandidate()
-	reason := j.successorDenial(c)
+	c, reason := candidate{}, reasonBudgetSpent
+	// The budget is asked first: when many upstreams are silent, it is spent soon, and a look at all others takes time.
+	if j.RetryBudgets.CanWithdraw(time.Now(), j.pool.Name) {
+		c = j.findCandidate()
+		reason = j.successorDenial(c)
+	}
 	if reason == "" {
 		j.successor = &c
 		return true
@@ -64,8 +68,6 @@
 		return reasonFull
 	case !j.Client.HasRoom(c.upstream.Address, j.maxConnections()):
 		return reasonConnectionsBounded
-	case !j.RetryBudgets.Allows(time.Now(), j.pool.Name):
-		return reasonBudgetSpent
 	}
 	return j.takeSuccessor(c)
 }
