--- a/soak/internal/plan/plan.go
+++ b/soak/internal/plan/plan.go
@@ -74,6 +74,10 @@
 	// changing paces.
 	SurgeWorkspace Kind = "surge-workspace"
 	UnevenEngines  Kind = "uneven-engines"
+	// SilenceSeveral makes a share of the upstreams, up to all, silent at once, ChangeConfiguration changes limits, routes
+	// and keys in series.
+	SilenceSeveral      Kind = "silence-several"
+	ChangeConfiguration Kind = "change-configuration"
 )
 
 // trafficKinds are kinds of faults that have a random stream together.
@@ -143,6 +147,15 @@
 	trafficStream    = 4
 	// firstOverloadSeed is the first seed whose plan has faults of overloadKinds.
 	firstOverloadSeed = 20000
+	// firstSilenceSeed is the first seed whose plan has silences of several upstreams beside changes of the
+	// configuration; those from firstOverloadSeed on keep the plans with which they were recorded.
+	firstSilenceSeed = 12000
+	silenceStream    = 5
+	// minSilence and maxSilence bound how long sound upstreams are silent.
+	minSilence = time.Second
+	maxSilence = 1900 * time.Millisecond
+	// meanSilenceInterval is short enough that silences overlap.
+	meanSilenceInterval = 1200 * time.Millisecond
 	// trafficDuration is longer than hosts may take to recognize a part that crashes engines.
 	trafficDuration = 8 * time.Second
 	// evacuationDuration is longer than hosts may take to learn of an evacuation.
@@ -172,6 +185,7 @@
 	faults = append(faults, generateEvacuations(seed, length)...)
 	faults = append(faults, generateUpstreamStates(seed, length)...)
 	faults = append(faults, generateTraffic(seed, length)...)
+	faults = append(faults, generateSilences(seed, length)...)
 	if seed >= firstOverloadSeed {
 		for _, kind := range overloadKinds {
 			faults = append(faults, Fault{Kind: kind, Start: firstFaultStart, Duration: max(length-firstFaultStart, 0)})
@@ -250,3 +264,18 @@
 	}
 	return faults
 }
+
+// generateSilences returns the silences of several upstreams in the plan of a seed, and the changes of the
+// configuration beside them.
+func generateSilences(seed uint64, length time.Duration) []Fault {
+	if seed < firstSilenceSeed || seed >= firstOverloadSeed || length <= firstFaultStart {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, silenceStream))
+	faults := []Fault{{Kind: ChangeConfiguration, Start: firstFaultStart, Duration: length - firstFaultStart, Target: random.IntN(targetRange)}}
+	for at := firstFaultStart; at+maxSilence < length; at += time.Duration(random.Int64N(int64(2 * meanSilenceInterval))) {
+		d := minSilence + time.Duration(random.Int64N(int64(maxSilence-minSilence)))
+		faults = append(faults, Fault{Kind: SilenceSeveral, Start: at, Duration: d, Target: random.IntN(targetRange)})
+	}
+	return faults
+}
--- a/soak/internal/rig/caller.go
+++ b/soak/internal/rig/caller.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"jackdawhinge/platform/standin"
@@ -76,6 +80,21 @@
 
 // send sends a request and fills in what came of it.
 func send(client *http.Client, req *http.Request, e *verdict.Exchange) {
+	var connection httptrace.GotConnInfo
+	// The client may call WroteRequest after it has the response.
+	var written atomic.Int64
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) { connection = c },
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			if i.Err == nil {
+				written.Store(time.Now().UnixNano())
+			}
+		},
+	}))
+	if req.Body == http.NoBody {
+		// The client would send a request without a body again if its connection ends.
+		req.Body, req.GetBody = io.NopCloser(strings.NewReader("")), nil
+	}
 	e.Sent = time.Now()
 	resp, err := client.Do(req)
 	if err == nil {
@@ -89,9 +108,19 @@
 			e.AddVersions(otherVersion, standin.DefaultVersion)
 		}
 	}
-	e.Ended = time.Now()
+	e.Ended, e.Error = time.Now(), err
+	if at := written.Load(); at != 0 {
+		e.Written = time.Unix(0, at)
+	}
+	if connection.Reused && e.Status == 0 && e.Ended.Sub(e.Written) < closeRace && !errors.Is(err, syscall.ECONNRESET) {
+		e.Written = time.Time{}
+	}
 }
 
+// closeRace is how long after a request the caller may notice that the host had closed an idle connection before
+// the request arrived. If it had arrived, the connection would be reset.
+const closeRace = 20 * time.Millisecond
+
 // newRequest returns a random request and fills in the route, the route number and the expected
 // body of e.
 func (f *Fleet) newRequest(ctx context.Context, caller standin.Caller, random *rand.Rand, e *verdict.Exchange) *http.Request {
@@ -138,10 +167,12 @@
 // runCaller sends requests one after another until the context ends.
 func (f *Fleet) runCaller(ctx context.Context, callerIndex int) {
 	random := rand.New(rand.NewPCG(f.seed, uint64(callerIndex)))
-	transport := &http.Transport{DisableCompression: true, MaxIdleConns: maxIdleConns}
+	kept := &keptConns{}
+	transport := &http.Transport{DisableCompression: true, MaxIdleConns: maxIdleConns, DialContext: kept.dial}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: callerTimeout + time.Second}
 	for n := 0; ctx.Err() == nil; n++ {
+		kept.closeIdle(f.operator.maxKeepTime())
 		// A request in progress when the run ends is still completed.
 		first := f.callRandomHost(context.WithoutCancel(ctx), client, random, fmt.Sprintf("%d-%d", callerIndex, n))
 		f.record.AddExchange(first)
--- a/soak/internal/rig/crashingpart.go
+++ b/soak/internal/rig/crashingpart.go
@@ -68,7 +68,7 @@
 			f.restartUpstream(u)
 		})
 	}
-	f.record.AddUpstreamFault(start, start.Add(fault.Duration+partDowntime+restartWindow+coldStart))
+	f.record.AddUpstreamFault(start, start.Add(fault.Duration+partDowntime+restartWindow+coldStart), engineService, verdict.Breaks)
 	f.setCrashingPart(part)
 	for n := 0; time.Since(start) < fault.Duration; n++ {
 		id := fmt.Sprintf("%s-%d", part.id, n)
--- a/soak/internal/rig/fleet.go
+++ b/soak/internal/rig/fleet.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -250,6 +251,10 @@
 		f.skewedTo.Store(int64(hostIndex))
 		time.Sleep(fault.Duration)
 		f.skewedTo.Store(-1)
+	case plan.SilenceSeveral:
+		f.silenceSeveral(fault)
+	case plan.ChangeConfiguration:
+		f.changeConfiguration(fault.Target, fault.Duration)
 	case plan.AddRoute:
 		f.record.AddChange(f.operator.addRoute())
 	case plan.RevokeKey:
@@ -294,7 +299,7 @@
 		return
 	}
 	start := time.Now()
-	f.record.AddUpstreamFault(start, start.Add(d+restartWindow+coldStart))
+	f.record.AddUpstreamFault(start, start.Add(d+restartWindow+coldStart), "", verdict.Unaffected)
 	time.Sleep(d)
 	f.record.AddChange(verdict.Change{At: start, EvacuatedDomain: domain, EvacuatedUntil: time.Now()})
 	for _, u := range f.upstreams {
@@ -311,7 +316,7 @@
 // turnBrittle makes the upstreams of a service brittle for a time.
 func (f *Fleet) turnBrittle(service string, d time.Duration) {
 	start := time.Now()
-	f.record.AddUpstreamFault(start, start.Add(d+restartWindow))
+	f.record.AddUpstreamFault(start, start.Add(d+restartWindow), service, verdict.Unaffected)
 	count, falls := 0, 0
 	for _, u := range f.upstreams {
 		if u.service == service {
@@ -340,6 +345,28 @@
 	}
 }
 
+// silenceShares is the number of shares of the upstreams of which some are silent at once.
+const silenceShares = 4
+
+// silenceSeveral makes one to all shares of the upstreams silent for a time, but those that have a fault. They go on
+// with what they run, and what they send arrives afterwards.
+func (f *Fleet) silenceSeveral(fault plan.Fault) {
+	count := (len(f.upstreams)*(1+fault.Target%silenceShares) + silenceShares - 1) / silenceShares
+	var running sync.WaitGroup
+	for i := range count {
+		running.Go(func() {
+			f.injectUpstreamFault(plan.Fault{Kind: fault.Kind, Duration: fault.Duration, Target: fault.Target + i})
+		})
+	}
+	running.Wait()
+}
+
+// effects are the effects of faults of one upstream that do more than delay.
+var effects = map[plan.Kind]verdict.Effect{
+	plan.SilenceUpstream: verdict.Silences, plan.SilenceSeveral: verdict.Silences, plan.CrashUpstream: verdict.Breaks, plan.FlapUpstream: verdict.Breaks,
+	plan.DrainUpstream: verdict.Breaks, plan.ResetUpstream: verdict.Breaks, plan.Garble: verdict.Breaks, plan.UnframeUpstream: verdict.Breaks, plan.DropIdle: verdict.Breaks,
+}
+
 var storeFaults = map[plan.Kind]standin.Fault{
 	plan.StoreFails: standin.Unavailable, plan.StoreLimits: standin.RateLimited, plan.StoreSilent: standin.Unresponsive, plan.StoreTorn: standin.TruncatedBody,
 }
@@ -364,11 +391,11 @@
 	defer f.upstreamFaultMu[n].Unlock()
 	u := f.upstreams[n]
 	start := time.Now()
-	f.record.AddUpstreamFault(start, start.Add(max(fault.Duration, drainPeriod)+restartWindow))
+	f.record.AddUpstreamFault(start, start.Add(max(fault.Duration, drainPeriod)+restartWindow), u.idPrefix(), cmp.Or(effects[fault.Kind], verdict.Delays))
 	switch fault.Kind {
-	case plan.DelayUpstream, plan.CutUpstream, plan.LoseUpstream, plan.DropIdle:
+	case plan.DelayUpstream, plan.CutUpstream, plan.LoseUpstream, plan.DropIdle, plan.SilenceSeveral:
 		proxy := u.Proxy()
-		proxy.SetMode(map[plan.Kind]Mode{plan.DelayUpstream: Delay, plan.CutUpstream: Blackhole, plan.LoseUpstream: Lossy, plan.DropIdle: DropIdle}[fault.Kind])
+		proxy.SetMode(map[plan.Kind]Mode{plan.DelayUpstream: Delay, plan.CutUpstream: Blackhole, plan.LoseUpstream: Lossy, plan.DropIdle: DropIdle, plan.SilenceSeveral: BlackholeResponses}[fault.Kind])
 		time.Sleep(fault.Duration)
 		proxy.SetMode(Pass)
 	case plan.SilenceUpstream:
--- a/soak/internal/rig/overload.go
+++ b/soak/internal/rig/overload.go
@@ -30,7 +30,7 @@
 // surge lets workspaces of several urgencies send requests for a time, one of them far more than the engines can serve.
 func (f *Fleet) surge(fault plan.Fault) {
 	start := time.Now()
-	f.record.AddUpstreamFault(start, start.Add(fault.Duration+restartWindow))
+	f.record.AddUpstreamFault(start, start.Add(fault.Duration+restartWindow), "", verdict.Unaffected)
 	observed := verdict.Surge{From: start, To: start.Add(fault.Duration)}
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConns: maxIdleConns}, Timeout: callerTimeout}
 	defer client.CloseIdleConnections()
@@ -76,7 +76,7 @@
 // makeUneven makes the engines work at different and changing paces for a time.
 func (f *Fleet) makeUneven(d time.Duration) {
 	random := rand.New(rand.NewPCG(f.seed, uint64(len(f.upstreams))))
-	f.record.AddUpstreamFault(time.Now(), time.Now().Add(d+restartWindow))
+	f.record.AddUpstreamFault(time.Now(), time.Now().Add(d+restartWindow), "", verdict.Unaffected)
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(paceInterval) {
 		f.setPaces(func() float64 { return 1 + (maxPace-1)*random.Float64() })
 	}
--- a/soak/internal/rig/upstream.go
+++ b/soak/internal/rig/upstream.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	u.mu.Lock()
-	u.id = fmt.Sprintf("%s-%d-%d", u.service, u.index, len(u.runners))
+	u.id = fmt.Sprintf("%s%d", u.idPrefix(), len(u.runners))
 	u.runner = standin.NewRunner(u.id, 8)
 	if u.service == engineService && (u.index/len(services)+len(u.runners))%2 == 1 {
 		u.runner.SetVersion(otherVersion)
@@ -118,6 +118,9 @@
 	u.store.PutEntry(u.id, u.runner.EntryWithSequence(u.service, u.proxy.Address(), u.failureDomain(), u.state, u.heartbeats))
 }
 
+// idPrefix returns what the IDs of all incarnations begin with.
+func (u *Upstream) idPrefix() string { return fmt.Sprintf("%s-%d-", u.service, u.index) }
+
 // failureDomain returns the failure domain; the upstreams of each service are spread over both.
 func (u *Upstream) failureDomain() string {
 	return failureDomains[u.index/len(services)%len(failureDomains)]
--- a/soak/internal/verdict/checks.go
+++ b/soak/internal/verdict/checks.go
@@ -61,7 +61,7 @@
 
 // Check returns all violations of the guarantees in a record.
 func Check(r *Record) []Violation {
-	checks := []func(*Record) []Violation{checkResponses, checkAtMostOnce, checkRefusals, checkRetries, checkDrain, checkRouteAdded, checkNoRollback, checkRevocation, checkEvacuation, checkColdUpstreams, checkRecovery, checkGracefulStop, checkLoadBound, checkConvergence, checkBrittleUpstreams, checkVersions, checkPartCrashes, checkSurges}
+	checks := []func(*Record) []Violation{checkResponses, checkAtMostOnce, checkRefusals, checkRetries, checkDrain, checkRouteAdded, checkNoRollback, checkRevocation, checkEvacuation, checkColdUpstreams, checkRecovery, checkGracefulStop, checkLoadBound, checkConvergence, checkBrittleUpstreams, checkVersions, checkPartCrashes, checkSurges, checkAccepted}
 	var all []Violation
 	for _, check := range checks {
 		all = append(all, check(r)...)
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -26,6 +26,14 @@
 // Streams reports whether responses of the route are streams.
 func (r Route) Streams() bool { return r == Sort || r == Digest }
 
+// LeastTimeout returns the least time-out that the route has in any configuration.
+func (r Route) LeastTimeout() time.Duration {
+	if r.Streams() {
+		return 3 * time.Second
+	}
+	return 1500 * time.Millisecond
+}
+
 // An Exchange is one request of a caller and its outcome.
 type Exchange struct {
 	ID    string
@@ -35,7 +43,11 @@
 	Incarnation int
 	Key         string
 	Sent        time.Time
-	Ended       time.Time
+	// Written is when the whole request had reached the host; zero if that is not known.
+	Written time.Time
+	Ended   time.Time
+	// Error is why there is no complete response.
+	Error error
 	// Status is 0 if there was no response.
 	Status     int
 	ResponseID string
@@ -100,11 +112,27 @@
 	Ended time.Time
 }
 
+// An Effect is what a fault of an upstream may do to a response in progress.
+type Effect string
+
+// The effects. A response that goes on after a silence is not excused by it.
+const (
+	Unaffected Effect = ""
+	Silences   Effect = "silences"
+	// Delays holds back or rejects without an end to responses that have begun.
+	Delays Effect = "delays"
+	// Breaks ends the response or its connection.
+	Breaks Effect = "breaks"
+)
+
 // An Interval is the time of a fault, in which time bounds do not apply.
 type Interval struct {
 	From, To time.Time
 	// Host is the index of the affected host, or -1 for all.
 	Host int
+	// Upstream begins the IDs of the affected upstreams, Effect is what the fault may do to their responses.
+	Upstream string
+	Effect   Effect
 }
 
 // A Change is a change of the configuration or of an upstream, and when it was written to the
@@ -186,11 +214,11 @@
 	r.HostFaults = append(r.HostFaults, Interval{From: from, To: to, Host: host})
 }
 
-// AddUpstreamFault records the time of a fault of an upstream.
-func (r *Record) AddUpstreamFault(from, to time.Time) {
+// AddUpstreamFault records the time and the effect of a fault of the upstreams whose IDs begin with a text.
+func (r *Record) AddUpstreamFault(from, to time.Time, upstream string, effect Effect) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.UpstreamFaults = append(r.UpstreamFaults, Interval{From: from, To: to, Host: -1})
+	r.UpstreamFaults = append(r.UpstreamFaults, Interval{From: from, To: to, Host: -1, Upstream: upstream, Effect: effect})
 }
 
 // AddGracefulStop records the grace period of a stopped host.
