--- a/soak/internal/rig/change.go
+++ b/soak/internal/rig/change.go
@@ -67,7 +67,9 @@
 	}
 	o.changes[c] = c != addKey && !o.changes[c]
 	o.publishNext()
-	o.idleTimeouts = append(o.idleTimeouts, idleTimeout{time.Now(), o.idleTimeout()})
+	if c == lowerIdleTimeout {
+		o.idleTimeouts = append(o.idleTimeouts, idleTimeout{time.Now(), o.idleTimeout()})
+	}
 }
 
 // changeRoutes returns the routes as changed; the lock must be held.
@@ -98,6 +100,13 @@
 	return usualIdleTimeout
 }
 
+// changesIdleTimeout reports whether the idle timeout is changed in this run.
+func (o *operator) changesIdleTimeout() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.idleTimeouts) > 0
+}
+
 // maxKeepTime returns how long callers keep an idle connection: four fifths of the idle timeout that is in force on
 // all hosts. They do not know of one that was lowered until then.
 func (o *operator) maxKeepTime() time.Duration {
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -43,7 +43,8 @@
 	Incarnation int
 	Key         string
 	Sent        time.Time
-	// Written is when the whole request had reached the host; zero if that is not known.
+	// Written is when the whole request had been written to the host, or the first of its parts; zero if the host may
+	// have closed the connection before.
 	Written time.Time
 	Ended   time.Time
 	// Error is why there is no complete response.
