--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -169,7 +169,7 @@
 		o.Uptime = uptime
 	}
 	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), history: resumption.NewHistory(time.Now(), o.FirstStart), paths: transit.NewPaths(), poolAdmission: overload.NewController(), serverErr: make(chan error, 1)}
-	h.conns = newCallerConns(maxCallerConns(o.MaxSockets), h.refusesConnection)
+	h.conns = newCallerConns(maxCallerConns(o.MaxSockets), h.idleTimeout, h.refusesConnection)
 	h.bounds.Store(&o.Bounds)
 	if o.MaxReadAheadBytes > 0 {
 		h.readAhead = readahead.NewBudget(o.MaxReadAheadBytes)
@@ -213,7 +213,8 @@
 			case <-ctx.Done():
 				return
 			case now := <-ticker.C:
-				h.conns.closeExpired(now, h.idleTimeout())
+				h.conns.closeExpired(now)
+				h.conns.logClosed()
 				h.loads.RemoveUnused(now)
 				h.coldLimiter.RemoveUnused(now)
 				h.paths.RemoveUnused(now)
@@ -314,9 +315,13 @@
 	}
 }
 
+// newCallerServer returns a server for listeners of conns.
 func newCallerServer(address string, handler http.Handler, conns *callerConns) *khttp.Server {
 	server := newServer(address, handler)
-	server.ConnState, server.ConnContext = conns.setState, relay.WithConn
+	server.ConnState = conns.setState
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return relay.WithConn(ctx, conn.(*callerConn).Conn)
+	}
 	return server
 }
 
@@ -343,6 +348,11 @@
 
 // Start serves until the context ends or a server fails. It returns the error of that server.
 func (h *Host) Start(ctx context.Context) error {
+	listener, err := net.Listen("tcp", h.options.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	khttp.Listener(h.conns.listen(listener))(h.callerServer)
 	servers := []*khttp.Server{h.callerServer, h.readinessServer}
 	if h.adminServer != nil {
 		servers = append(servers, h.adminServer)
