--- a/soak/internal/rig/host.go
+++ b/soak/internal/rig/host.go
@@ -153,6 +153,8 @@
 		case err != nil:
 		case name == "jackdawd_fleet_hosts":
 			view.Hosts = int(n)
+		case name == "jackdawd_caller_connections_refused":
+			view.RefusedConnections = int(n)
 		case name == "jackdawd_store_era":
 			view.StoreRestores = int64(n)
 		}
--- a/soak/internal/verdict/accepted_test.go
+++ b/soak/internal/verdict/accepted_test.go
@@ -17,6 +17,7 @@
 	}{
 		"stream given up":             {func(*Record, *Exchange) {}, 1},
 		"connection without a status": {func(_ *Record, e *Exchange) { e.Status, e.Route = 0, Notice }, 1},
+		"new connection":              {func(_ *Record, e *Exchange) { e.ID, e.Status, e.NewConnection = "unread", 0, true }, 1},
 		"upstream silent":             {func(r *Record, _ *Exchange) { r.AddUpstreamFault(at(1), at(3), "u1", Silences) }, 1},
 		"upstream slow, repeatable":   {func(r *Record, _ *Exchange) { r.AddUpstreamFault(at(1), at(3), "u1", Delays) }, 1},
 		"other upstream crashed":      {func(r *Record, _ *Exchange) { r.AddUpstreamFault(at(1), at(3), "u2", Breaks) }, 1},
--- a/soak/internal/verdict/record.go
+++ b/soak/internal/verdict/record.go
@@ -47,8 +47,9 @@
 	// have closed the connection before.
 	Written time.Time
 	Ended   time.Time
-	// Error is why there is no complete response.
-	Error error
+	// Error is why there is no complete response, NewConnection whether the connection was opened for the request.
+	Error         error
+	NewConnection bool
 	// Status is 0 if there was no response.
 	Status     int
 	ResponseID string
@@ -170,6 +171,8 @@
 	// store was restored from a snapshot.
 	Hosts         int
 	StoreRestores int64
+	// RefusedConnections is how many new connections its process closed unread.
+	RefusedConnections int
 }
 
 // A Record is all that was observed in a run.
