--- a/jackdawd/internal/membership/state.go
+++ b/jackdawd/internal/membership/state.go
@@ -70,6 +70,7 @@
 	}
 	changed := !s.upstreamsKnown
 	s.upstreamsKnown = true
+	s.removeReplaced(change)
 	expired := s.expiredPools(change)
 	for _, e := range change.Entries {
 		u, known := s.upstreams[e.ID]
@@ -143,6 +144,27 @@
 	return missing
 }
 
+// removeReplaced removes the upstreams whose addresses new ones have. They have ended, but their entries are only
+// removed after some missed heartbeats, and each request sent there meanwhile needs a retry. One that still runs is
+// listed again by its next heartbeat. A store restored from a backup may list upstreams that ended long ago as new.
+func (s *state) removeReplaced(change traffic.UpstreamChange) {
+	if change.Restored {
+		return
+	}
+	successors := map[string]string{}
+	for _, e := range change.Entries {
+		if _, seen := s.newestVersions[e.ID]; !seen && e.Upstream != nil {
+			successors[e.Upstream.Address] = e.ID
+		}
+	}
+	for id, u := range s.upstreams {
+		if successor, ok := successors[u.Address]; ok {
+			s.remove(id)
+			logrus.WithFields(logrus.Fields{"upstream": id, "successor": successor}).Info("membership: Upstream removed because a new one has its address.")
+		}
+	}
+}
+
 func (s *state) remove(id string) {
 	delete(s.upstreams, id)
 	delete(s.firstSeen, id)
--- a/jackdawd/internal/membership/state_test.go
+++ b/jackdawd/internal/membership/state_test.go
@@ -384,3 +384,32 @@
 		})
 	}
 }
+
+// Guards against requests, and the retries that they need, that are sent to an upstream which another one has replaced
+// at its address until its entry expires.
+func TestNewUpstreamReplacesTheOneAtItsAddress(t *testing.T) {
+	at := func(address string, e traffic.UpstreamEntry) traffic.UpstreamEntry {
+		e.Upstream.Address = address
+		return e
+	}
+	both := traffic.UpstreamChange{Complete: true, Entries: []traffic.UpstreamEntry{at("x:80", entry("a", 1, traffic.Ready)), at("y:80", entry("b", 1, traffic.Ready))}}
+	for name, test := range map[string]struct {
+		changes []traffic.UpstreamChange
+		want    []string
+	}{
+		"same address":               {[]traffic.UpstreamChange{both, {Entries: []traffic.UpstreamEntry{at("x:80", entry("c", 1, traffic.Ready))}}}, []string{"b", "c"}},
+		"in a complete list":         {[]traffic.UpstreamChange{both, {Complete: true, Entries: append([]traffic.UpstreamEntry{at("x:80", entry("c", 1, traffic.Ready))}, both.Entries...)}}, []string{"b", "c"}},
+		"another address":            {[]traffic.UpstreamChange{both, {Entries: []traffic.UpstreamEntry{at("z:80", entry("c", 1, traffic.Ready))}}}, []string{"a", "b", "c"}},
+		"first list":                 {[]traffic.UpstreamChange{{Complete: true, Entries: []traffic.UpstreamEntry{at("x:80", entry("a", 1, traffic.Ready)), at("x:80", entry("c", 1, traffic.Ready))}}}, []string{"a", "c"}},
+		"restored store":             {[]traffic.UpstreamChange{both, {Restored: true, Entries: []traffic.UpstreamEntry{at("x:80", entry("c", 1, traffic.Ready))}}}, []string{"a", "b", "c"}},
+		"heartbeat of the first one": {[]traffic.UpstreamChange{both, {Entries: []traffic.UpstreamEntry{at("x:80", entry("c", 1, traffic.Ready))}}, {Entries: []traffic.UpstreamEntry{at("x:80", entry("a", 2, traffic.Ready))}}}, []string{"a", "b", "c"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, func(t *testing.T, tracker *Tracker, store *fakeStore, _ *atomic.Int64) {
+				store.update(func(store *fakeStore) { store.changes = test.changes })
+				time.Sleep(6 * time.Second)
+				require.ElementsMatch(t, test.want, ids(tracker.Snapshot().AllUpstreams("reader")))
+			})
+		})
+	}
+}
