--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -37,6 +37,8 @@
 	// abortMargin is how long before the end of the grace period remaining requests are aborted,
 	// so that the process exits before the platform kills it.
 	abortMargin = 400 * time.Millisecond
+	// refusalMargin is how much of abortMargin the refusals of aborted requests may take.
+	refusalMargin = 200 * time.Millisecond
 	// drainPollInterval is how often a draining host checks whether requests are in progress.
 	drainPollInterval = 50 * time.Millisecond
 	// headerTimeout is how long a caller may take to send a request's headers.
@@ -381,7 +383,8 @@
 }
 
 // Stop drains and closes the host: it reports not ready, serves until the load balancer has
-// noticed, and waits for requests in progress until shortly before the grace period ends.
+// noticed, and waits for requests in progress and connections that are not idle until shortly before the grace
+// period ends.
 func (h *Host) Stop() error {
 	start := time.Now()
 	h.draining.Store(true)
@@ -390,17 +393,34 @@
 	logrus.WithField("in-progress", h.handler.InProgress()).Info("entry: Stopping. Waiting for requests in progress.")
 	deadline := start.Add(h.bounds.Load().GracePeriod - abortMargin)
 	for time.Now().Before(deadline) {
-		if time.Since(start) > balancerDrainDelay && h.handler.InProgress() == 0 && h.tunnels.Tunnels() == 0 {
+		// A request counts as in progress only while its handler runs; its connection is open until the response has
+		// been written.
+		if time.Since(start) > balancerDrainDelay && h.handler.InProgress() == 0 && h.tunnels.Tunnels() == 0 && h.conns.stop() == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
 	aborted := h.handler.InProgress()
+	h.handler.Abort()
+	h.closeIdleConns(deadline.Add(refusalMargin))
 	err := h.close()
 	logrus.WithField("cut-off", aborted).Info("entry: Stopped.")
 	return err
 }
 
+// closeIdleConns closes callers' connections without a request and waits until the other ones have their responses,
+// of which the server writes the last part after the handler has returned. http.Server.Shutdown would drop requests
+// that have arrived and were not handled yet.
+func (h *Host) closeIdleConns(deadline time.Time) {
+	for open := h.conns.stop(); open > 0; open = h.conns.stop() {
+		if !time.Now().Before(deadline) {
+			logrus.WithField("connections", open).Warn("entry: Closing connections whose responses are not written.")
+			return
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
 func (h *Host) close() error {
 	h.cancel()
 	errs := []error{h.callerServer.Close(), h.readinessServer.Close(), h.source.Close()}
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -16,7 +16,7 @@
 
 const (
 	// firstByteTimeoutFactor is the multiple of its target after which a repeatable request leaves
-	// a silent upstream for another one.
+	// a silent upstream for another one if it is no stream, and any upstream is reported as silent.
 	firstByteTimeoutFactor = 2
 	// minFirstByteTimeout is the minimum of that timeout.
 	minFirstByteTimeout = 600 * time.Millisecond
@@ -33,6 +33,14 @@
 	if !j.mayFailOver(sent) {
 		return 0
 	}
+	if j.route.Kind == traffic.Streaming {
+		return j.eventTimeout()
+	}
+	return j.firstByteReportTime()
+}
+
+// firstByteReportTime returns how long an upstream may be silent before its first byte until it is reported.
+func (j *job) firstByteReportTime() time.Duration {
 	return max(firstByteTimeoutFactor*j.route.FirstByteTarget, minFirstByteTimeout)
 }
 
@@ -95,7 +103,10 @@
 	}
 	defer func() { j.endAttempt(complete) }()
 	var ok bool
-	if release, ok = j.takeBrittle(u, own); !ok {
+	if release, ok = j.reserved, j.reserved != nil; !ok {
+		release, ok = j.takeBrittle(u, own)
+	}
+	if j.reserved = nil; !ok {
 		return result{verdict: unsent, err: errNoRoomAtBrittle}
 	}
 	if _, quarantined := j.findQuarantined(); quarantined && !j.probing {
@@ -374,7 +385,8 @@
 		return result{verdict: callerLeft, err: err}
 	}
 	if _, err := io.CopyBuffer(writerOnly{j.w}, readerOnly{resp}, make([]byte, readBufferBytes)); err != nil {
-		if ctx.Err() != nil {
+		var interrupted *exchange.InterruptedError
+		if !errors.As(err, &interrupted) || j.r.Context().Err() != nil {
 			return result{verdict: callerLeft, err: err}
 		}
 		return result{verdict: broken, err: err}
--- a/jackdawd/internal/relay/budgets.go
+++ b/jackdawd/internal/relay/budgets.go
@@ -47,14 +47,15 @@
 	return b
 }
 
-// SetRatio changes the fleet's retry ratio and window; other values reset all budgets.
+// SetRatio changes the fleet's retry ratio and window. Requests and retries within the new window still count.
 func (b *RetryBudgets) SetRatio(ratio float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if ratio == b.ratio && window == b.window && b.byPool != nil {
-		return
-	}
+	before := b.byPool
 	b.ratio, b.window, b.byPool = ratio, window, map[string]*retryWindow{}
+	for name, w := range before {
+		b.pool(name).add(w)
+	}
 }
 
 // Deposit counts a request to a pool.
@@ -64,6 +65,13 @@
 	b.pool(pool).slot(now).requests++
 }
 
+// Allows reports whether the budget allows a retry at a pool.
+func (b *RetryBudgets) Allows(now time.Time, pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.remaining(now, b.pool(pool)) >= 1
+}
+
 // TryWithdraw counts a retry at a pool and reports whether the budget allows it.
 func (b *RetryBudgets) TryWithdraw(now time.Time, pool string) bool {
 	b.mu.Lock()
@@ -115,6 +123,15 @@
 	return s
 }
 
+// add adds the slots of another window; of those that would share a place the latest one is kept.
+func (w *retryWindow) add(other *retryWindow) {
+	for _, s := range other.slots {
+		if place := &w.slots[int(s.number%int64(len(w.slots)))]; s.number > place.number {
+			*place = s
+		}
+	}
+}
+
 // count returns the requests and retries up to a slot. Retries count for a slot longer than requests,
 // so that the ratio holds for windows that begin within a slot.
 func (w *retryWindow) count(current int64) (requests, retries int) {
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -78,6 +78,10 @@
 	current *traffic.Upstream
 	// successor takes the request over from the current upstream, with a retry taken from the budget; nil for none.
 	successor *candidate
+	// reserved gives back the place at the successor, or at the next upstream until its attempt begins; nil for none.
+	reserved func()
+	// ahead forwards the response of the current upstream if it is read ahead; else nil.
+	ahead *readAhead
 	// attempted holds the upstreams that were sent the request or could not be reached.
 	attempted []traffic.UpstreamInstance
 	// attemptStartedAt is when the latest attempt started, connectTime how long it took to get a
@@ -102,6 +106,8 @@
 	status     int
 	splitter   events.Splitter
 
+	// cause is why the response is not complete, if it isn't; set once the request has ended.
+	cause EndCause
 	// watchdog reports the current upstream if it is silent for too long.
 	watchdog *watchdog
 	// configurationAge is how old the configuration may have been when the request arrived.
@@ -161,6 +167,8 @@
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	stopAbort := context.AfterFunc(j.aborted, cancel)
+	defer stopAbort()
 	ctx, span := j.tracer.Start(ctx, "relay", trace.WithAttributes(
 		attribute.String("request", j.request.ID), attribute.String("route", j.route.Name),
 	))
@@ -182,6 +190,7 @@
 		j.refuse(refusal)
 		return
 	}
+	defer j.releaseReserved()
 	var last result
 	for range maxAttempts {
 		upstream := j.nextUpstream()
@@ -256,8 +265,10 @@
 
 // finish sends the error response, if any, and records how the request ended.
 func (j *job) finish(ctx context.Context, last result) {
+	j.cause = j.endCause(ctx, last)
 	switch {
 	case last.verdict == answered:
+		j.extendWriteDeadline()
 		j.record(Answered, j.status, nil)
 	case last.verdict == cutOff:
 		j.record(Truncated, j.status, nil)
@@ -286,6 +297,8 @@
 		r := work.NewUncertainRefusal(work.UpstreamFailed, "no answer came in time")
 		r.Status = timeoutStatus
 		return r
+	case j.mayHaveRun && j.aborted.Err() != nil:
+		return work.NewUncertainRefusal(work.UpstreamFailed, "the host stopped before an answer came")
 	case j.mayHaveRun:
 		return work.NewUncertainRefusal(work.UpstreamFailed, "no whole answer came: %v", last.err)
 	}
@@ -340,15 +353,18 @@
 	return min(w.Urgency*urgenciesPerWorkspace+min(r.Urgency, urgenciesPerWorkspace-1), lowestUrgency)
 }
 
+// maxConnections returns the maximum number of this host's connections to an upstream; 0 means no bound.
+func (j *job) maxConnections() int { return j.pool.MaxConnections / hostConnectionDivisor }
+
 // upstreamRequest returns the request to an upstream.
 func (j *job) upstreamRequest(u *traffic.Upstream) exchange.Request {
 	req := exchange.Request{
 		Address: u.Address, Upstream: u.Instance(), ID: j.request.ID, Method: j.r.Method, Target: requestTarget(j.r), Host: j.r.Host,
 		Header: j.Protocol.UpstreamHeader(j.r.Header, j.forwardMetadata(u)), Body: j.body,
-		MaxConnections: j.pool.MaxConnections / hostConnectionDivisor,
+		MaxConnections: j.maxConnections(),
 		HeaderTimeout:  j.firstByteTimeout(j.sentCount + 1),
 		OnConnected:    func(through string) { j.recordConnected(u, through) },
-		AbortOnTimeout: func() bool { return !j.isFull(u) && j.findSuccessor() },
+		AbortOnTimeout: func() bool { return !j.isFull(u) && !j.isCallerBehind() && j.findSuccessor() },
 	}
 	if !j.route.Repeatable() {
 		req.MaxIdleTime = maxIdleNonRepeatable
--- a/jackdawd/internal/relay/read_ahead.go
+++ b/jackdawd/internal/relay/read_ahead.go
@@ -76,7 +76,7 @@
 		return buf[:n], nil
 	case errors.Is(err, io.EOF):
 		return buf[:n], &result{verdict: answered, unframed: !resp.Framed()}
-	case s.ctx.Err() != nil:
+	case s.r.Context().Err() != nil:
 		return buf[:n], &result{verdict: callerLeft, err: err}
 	}
 	return buf[:n], &result{verdict: broken, err: err}
@@ -143,7 +143,11 @@
 	a := &readAhead{job: j, resp: resp, source: s, end: end, upstreamDone: end != nil}
 	a.changed.L, a.writes.onSlow = &a.mu, a.readOn
 	a.slowWrites.add(&a.writes)
-	defer a.close()
+	j.ahead = a
+	defer func() {
+		a.close()
+		j.ahead = nil
+	}()
 	for len(first) > 0 {
 		n := min(len(first), readBufferBytes)
 		if err := a.write(first[:n], len(first)); err != nil {
@@ -195,10 +199,25 @@
 	return a.source.write(part)
 }
 
+// isCallerBehind reports whether the caller still has a part of the response to read. It does not notice a silence of
+// the upstream until then.
+func (j *job) isCallerBehind() bool { return j.ahead != nil && j.ahead.isHolding() }
+
+// isHolding reports whether anything that was read has not been written.
+func (a *readAhead) isHolding() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holding != nil && (!a.writerIdle || len(a.chunks) > 0)
+}
+
 // writeFailed returns the result of an attempt whose response could not be written.
 func (a *readAhead) writeFailed(err error) result {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.aborted {
+		// The write failed because its deadline was moved.
+		err = errAborted
+	}
 	return result{verdict: a.failureVerdict(), err: err}
 }
 
