--- a/jackdawd/internal/placement/silent.go
+++ b/jackdawd/internal/placement/silent.go
@@ -192,7 +192,8 @@
 	return reports[:min(len(reports), maxSilenceReports)]
 }
 
-// Changed returns the versions of the reports of this host and its children and of those that Found returns, and a channel that is closed at the next change.
+// Changed returns the versions of the reports of this host and its children and of those that Found returns, and a
+// channel that is closed at the next change.
 func (s *SilentUpstreams) Changed() (version, foundVersion int64, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
