--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -144,7 +144,6 @@
 	// history holds which software versions the upstreams have had.
 	history       *resumption.History
 	loads         *placement.Loads
-	silent        *placement.SilentUpstreams
 	balancer      *placement.Balancer
 	poolAdmission *overload.Controller
 	// admissionReporter describes the state of poolAdmission.
@@ -169,7 +168,7 @@
 	if o.Uptime == nil {
 		o.Uptime = uptime
 	}
-	h := &Host{options: o, loads: placement.NewLoads(), silent: placement.NewSilentUpstreams(o.Name), quarantine: quarantine.NewRegistry(), history: resumption.NewHistory(time.Now(), o.FirstStart), paths: transit.NewPaths(), poolAdmission: overload.NewController(), serverErr: make(chan error, 1)}
+	h := &Host{options: o, loads: placement.NewLoads(), quarantine: quarantine.NewRegistry(), history: resumption.NewHistory(time.Now(), o.FirstStart), paths: transit.NewPaths(), poolAdmission: overload.NewController(), serverErr: make(chan error, 1)}
 	h.conns = newCallerConns(maxCallerConns(o.MaxSockets), h.refusesConnection)
 	h.bounds.Store(&o.Bounds)
 	if o.MaxReadAheadBytes > 0 {
@@ -183,7 +182,7 @@
 	h.source = fleet.NewSource(fleet.Options{
 		Name: o.Name, FailureDomain: o.FailureDomain, Region: o.Region, Address: o.PeerAddress, Strength: o.Strength, FirstStart: o.FirstStart, HostRegistry: o.HostRegistry,
 		Configurations: o.Configurations, Upstreams: o.Upstreams, Plans: h.balancer, Uptime: o.Uptime, MaxConfigurationAge: h.maxConfigurationAge, DecodeConfiguration: o.DecodeConfiguration,
-		Quarantine: h.quarantine, QuarantineStore: o.QuarantineStore, Silent: h.silent, History: h.history, HistoryStore: o.HistoryStore, Listen: o.Listen, Dial: peers.DialFunc(o.Dial), Streams: map[string]peers.StreamHandler{transit.StreamName: h.tunnels.Serve},
+		Quarantine: h.quarantine, QuarantineStore: o.QuarantineStore, History: h.history, HistoryStore: o.HistoryStore, Listen: o.Listen, Dial: peers.DialFunc(o.Dial), Streams: map[string]peers.StreamHandler{transit.StreamName: h.tunnels.Serve},
 	})
 	h.tracker = membership.NewTracker(membership.Options{
 		Configurations: h.source.Configurations(), Upstreams: h.source.Upstreams(), Uptime: o.Uptime, Bounds: o.Bounds.Bounds,
@@ -199,7 +198,7 @@
 	h.budgets = relay.NewRetryBudgets(o.Bounds.RetryRatio, o.Bounds.RetryWindow)
 	h.handler = relay.NewHandler(relay.Options{
 		Protocol: o.Protocol, Membership: h.tracker, Client: h.client, Loads: h.loads, Balancer: h.balancer, CacheLocations: placement.NewCacheLocations(), RequestStats: placement.NewRequestStats(),
-		RetryBudgets: h.budgets, Admission: admission.NewController(), PoolAdmission: h.poolAdmission, AdmitsByPool: func() bool { return h.bounds.Load().PoolAdmission }, ReadAhead: h.readAhead, Quarantine: h.quarantine, Backoffs: relay.NewBackoffs(), ColdLimiter: h.coldLimiter, Brittleness: placement.NewBrittleness(), Silent: h.silent, SlotLeases: h.source, Probes: h.source, Streams: h.source, Recorder: requestlog.NewWriter(o.RoutineLogger, o.AnomalyLogger, o.Meter),
+		RetryBudgets: h.budgets, Admission: admission.NewController(), PoolAdmission: h.poolAdmission, AdmitsByPool: func() bool { return h.bounds.Load().PoolAdmission }, ReadAhead: h.readAhead, Quarantine: h.quarantine, Backoffs: relay.NewBackoffs(), ColdLimiter: h.coldLimiter, Brittleness: placement.NewBrittleness(), SlotLeases: h.source, Probes: h.source, Streams: h.source, Recorder: requestlog.NewWriter(o.RoutineLogger, o.AnomalyLogger, o.Meter),
 		FailureDomain: o.FailureDomain, InSameRegion: o.InSameRegion, MaxTotalBodyBytes: o.MaxTotalBodyBytes, LoadMultiple: h.loadMultiple, HostCount: h.hostCount, SchedulingDelay: o.SchedulingDelay, IsUnreached: func(address string) bool { return h.paths.IsUnreached(time.Now(), address) },
 	})
 	h.registerGauges(o.Meter)
--- a/jackdawd/internal/fleet/quarantine.go
+++ b/jackdawd/internal/fleet/quarantine.go
@@ -8,7 +8,6 @@
 
 	"jackdawhinge/common/pause"
 	"jackdawhinge/common/peers"
-	"jackdawhinge/jackdawd/internal/placement"
 	"jackdawhinge/jackdawd/internal/quarantine"
 )
 
@@ -59,8 +58,6 @@
 // ReportArgs hold the requests that crashed upstreams as seen by a host and its children.
 type ReportArgs struct {
 	Cases []quarantine.Record
-	// Silent are the upstreams that they find silent.
-	Silent []placement.SilenceReport
 }
 
 // ReportReply is empty.
@@ -71,26 +68,17 @@
 	Known quarantine.Position
 	// Wait is how long to hold the call open for an update.
 	Wait time.Duration
-	// KnownSilent is the version up to which the child has the parent's reports of silent upstreams: noSilentVersion
-	// for none, 0 for a child of an earlier build, which takes none.
-	KnownSilent int64
 }
 
 // CasesReply holds the records after that position, and the position Until which they are complete.
 type CasesReply struct {
 	Cases []quarantine.Record
 	Until quarantine.Position
-	// Silent are the upstreams that hosts find silent, SilentUntil the version of these reports.
-	Silent      []placement.SilenceReport
-	SilentUntil int64
 }
 
 // Report merges the records of a child.
 func (s *service) Report(args *ReportArgs, _ *ReportReply) error {
-	if len(args.Cases) > 0 {
-		s.source.options.Quarantine.Merge(time.Now(), args.Cases)
-	}
-	s.source.options.Silent.MergeReports(time.Now(), args.Silent)
+	s.source.options.Quarantine.Merge(time.Now(), args.Cases)
 	return nil
 }
 
@@ -101,19 +89,16 @@
 	defer timer.Stop()
 	for waiting := true; waiting; {
 		changed := registry.Changed()
-		_, silentVersion, silentChanged := s.source.options.Silent.Changed()
-		if registry.HasChanges(args.Known, minSharedCrashes) || (args.KnownSilent != 0 && silentVersion != args.KnownSilent) {
+		if registry.HasChanges(args.Known, minSharedCrashes) {
 			break
 		}
 		select {
 		case <-changed:
-		case <-silentChanged:
 		case <-timer.C:
 			waiting = false
 		}
 	}
 	reply.Cases, reply.Until = registry.Since(time.Now(), args.Known, minSharedCrashes)
-	reply.Silent, reply.SilentUntil = s.source.options.Silent.Found(time.Now())
 	return nil
 }
 
@@ -153,7 +138,7 @@
 // followRecords fetches the parent's records of requests that crashed upstreams until the context
 // ends. It continues while the parent has lost the store and is not followed for anything else.
 func (s *Source) followRecords(ctx context.Context) {
-	askedHost, known, knownSilent, failing := "", quarantine.Position{}, int64(noSilentVersion), false
+	askedHost, known, failing := "", quarantine.Position{}, false
 	for ctx.Err() == nil {
 		parent, hasParent := s.directory.ExchangeParent(time.Now())
 		if !hasParent {
@@ -161,9 +146,9 @@
 			continue
 		}
 		if parent.Name != askedHost {
-			askedHost, known, knownSilent = parent.Name, quarantine.Position{}, noSilentVersion
+			askedHost, known = parent.Name, quarantine.Position{}
 		}
-		reply, err := s.fetchRecords(ctx, parent, known, knownSilent)
+		reply, err := s.fetchRecords(ctx, parent, known)
 		if err != nil {
 			if !failing && ctx.Err() == nil {
 				logrus.WithError(err).WithField("peer", parent.Name).Info("fleet: Fetching crash records from the parent host failed. Retrying.")
@@ -177,24 +162,17 @@
 		}
 		failing = false
 		s.options.Quarantine.Merge(time.Now(), reply.Cases)
-		s.options.Silent.MergeFound(time.Now(), reply.Silent)
-		if len(reply.Silent) > 0 {
-			pause.For(ctx, silentReportInterval)
-		}
-		if known, knownSilent = reply.Until, reply.SilentUntil; knownSilent == 0 {
-			// The parent is of an earlier build.
-			knownSilent = noSilentVersion
-		}
+		known = reply.Until
 	}
 }
 
 // fetchRecords makes one call to the parent, which is canceled if the parent changes.
-func (s *Source) fetchRecords(ctx context.Context, parent Peer, known quarantine.Position, knownSilent int64) (CasesReply, error) {
+func (s *Source) fetchRecords(ctx context.Context, parent Peer, known quarantine.Position) (CasesReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, recordsPollWait+reportTimeout)
 	defer cancel()
 	defer s.cancelOnParentChange(ctx, cancel, parent)()
 	var reply CasesReply
-	err := s.quarantineClientFor(parent).Call(ctx, parent.Address, casesCall, &CasesArgs{Known: known, Wait: recordsPollWait, KnownSilent: knownSilent}, &reply)
+	err := s.quarantineClientFor(parent).Call(ctx, parent.Address, casesCall, &CasesArgs{Known: known, Wait: recordsPollWait}, &reply)
 	return reply, err
 }
 
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -18,7 +18,6 @@
 	"jackdawhinge/common/peers"
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/membership"
-	"jackdawhinge/jackdawd/internal/placement"
 	"jackdawhinge/jackdawd/internal/quarantine"
 	"jackdawhinge/jackdawd/internal/resumption"
 )
@@ -82,8 +81,6 @@
 	// Quarantine holds the requests that crash upstreams; their notices are kept in the store.
 	Quarantine      Quarantine
 	QuarantineStore QuarantineStore
-	// Silent holds which upstreams hosts find silent.
-	Silent SilentUpstreams
 	// History holds which software versions upstreams have had; nil means one of this process alone.
 	// HistoryStore keeps it for hosts that start; nil means that nothing does.
 	History      *resumption.History
@@ -217,9 +214,6 @@
 	self := Peer{Name: o.Name, Registration: Registration{
 		Address: o.Address, FailureDomain: o.FailureDomain, Region: o.Region, Strength: o.Strength, Secret: hex.EncodeToString(secret),
 	}}
-	if o.Silent == nil {
-		o.Silent = placement.NewSilentUpstreams(o.Name)
-	}
 	if o.History == nil {
 		o.History = resumption.NewHistory(time.Now(), o.FirstStart)
 	}
@@ -262,7 +256,6 @@
 		close(s.joined)
 		s.done.Go(func() { s.runExchange(ctx) })
 		s.done.Go(func() { s.reportRecords(ctx) })
-		s.done.Go(func() { s.reportSilentUpstreams(ctx) })
 		s.done.Go(func() { s.followRecords(ctx) })
 		s.maintainDirectory(ctx)
 	})
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -111,17 +111,11 @@
 	}
 	j.watchdog = j.startWatchdog(ctx, u)
 	defer j.watchdog.stop()
-	stopSilenceTimer := j.startSilenceTimer(u)
-	defer stopSilenceTimer()
 	req := j.upstreamRequest(u)
 	var err error
 	if response, err = j.Client.Do(ctx, req); err != nil {
 		return j.handleRequestError(ctx, u, err)
 	}
-	stopSilenceTimer()
-	if !j.pool.Engine {
-		j.Silent.RecordResponse(time.Now(), u)
-	}
 	j.sentCount++
 	head := response.Head()
 	if head.Load != nil {
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -129,7 +129,6 @@
 	Backoffs       *Backoffs
 	ColdLimiter    *placement.ColdLimiter
 	Brittleness    *placement.Brittleness
-	Silent         *placement.SilentUpstreams
 	SlotLeases     SlotLeases
 	Probes         Probes
 	Streams        Streams
--- a/jackdawd/internal/relay/place.go
+++ b/jackdawd/internal/relay/place.go
@@ -203,9 +203,6 @@
 	if len(eligible) == 0 {
 		eligible = otherRegion
 	}
-	if !j.pool.Engine {
-		eligible = j.Silent.Responding(now, eligible)
-	}
 	return eligible, avoided, left
 }
 
