--- a/jackdawd/internal/fleet/load_bound_test.go
+++ b/jackdawd/internal/fleet/load_bound_test.go
@@ -170,6 +170,7 @@
 					for often, every := range map[string]time.Duration{"once": 0, "each 3 s": 3 * time.Second} {
 						t.Run(fmt.Sprintf("%s/%d hosts/%.2f for %s %s", name, hosts, ratio, silentFor, often), func(t *testing.T) {
 							t.Parallel()
+							load := load
 							load.hosts, load.silentRatio, load.silentFor, load.silentEvery = hosts, ratio, silentFor, every
 							load.silentFrom, load.duration = 5*time.Second, 13*time.Second
 							worst := newSimulation(load, 1).run()
