--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -13,11 +13,19 @@
 	key       = "n2ctnfzs989anu6wsjnb"
 )
 
+// ownTokens is the length of the part of a prompt that only its request has, in tokens.
+const ownTokens = 100
+
+// promptID returns the identifier of that part, which is a hexadecimal number.
+func promptID(id string) string { return fmt.Sprintf("%x", id) }
+
 // A call is one request of a client.
 type call struct {
 	id, path string
-	// part is the part of the prompt that requests share; events is how many events are asked for.
+	// part is the part of the prompt that requests share, shared its length in tokens; events is how many events are
+	// asked for.
 	part   string
+	shared int
 	events int
 	// after is the last event that the client has.
 	after string
@@ -48,7 +56,7 @@
 	req.Host = routeHost
 	for name, value := range map[string]string{
 		"X-Attempt-Id": c.id, "X-Model": "m", "X-Deadline-Ms": "15000", "Authorization": "Bearer " + key,
-		"X-Token-Usage": fmt.Sprintf("600,%d", c.events), "X-Prompt-Prefix": c.part + ":500," + c.id + ":100",
+		"X-Token-Usage": fmt.Sprintf("%d,%d", c.shared+ownTokens, c.events), "X-Prompt-Prefix": fmt.Sprintf("%s:%d,%s:%d", c.part, c.shared, promptID(c.id), ownTokens),
 	} {
 		req.Header.Set(name, value)
 	}
