--- a/jackdawd/internal/relay/budgets.go
+++ b/jackdawd/internal/relay/budgets.go
@@ -30,11 +30,14 @@
 
 // retryWindow counts requests and retries by the slot of their time.
 type retryWindow struct {
+	// slots are consecutive, the latest one first.
 	slots []retrySlot
+	// latestStart is the start of the latest slot; zero before the first request. It keeps its monotonic reading: with
+	// the time of day, a clock that is set back would leave out what was counted before.
+	latestStart time.Time
 }
 
 type retrySlot struct {
-	number   int64
 	requests int
 	retries  int
 }
@@ -54,7 +57,9 @@
 	before := b.byPool
 	b.ratio, b.window, b.byPool = ratio, window, map[string]*retryWindow{}
 	for name, w := range before {
-		b.pool(name).add(w)
+		resized := b.pool(name)
+		resized.latestStart = w.latestStart
+		copy(resized.slots, w.slots)
 	}
 }
 
@@ -96,7 +101,7 @@
 
 // remaining returns the number of retries that remain within a window; the lock must be held.
 func (b *RetryBudgets) remaining(now time.Time, w *retryWindow) float64 {
-	requests, retries := w.count(slotNumber(now))
+	requests, retries := w.count(now)
 	return hostRatioFactor*b.ratio*float64(requests) + minRetries - float64(retries)
 }
 
@@ -111,37 +116,27 @@
 	return w
 }
 
-func slotNumber(now time.Time) int64 { return now.UnixNano() / int64(budgetSlot) }
-
-// slot returns the slot of a time, and drops the one that it replaces.
+// slot returns the slot of a time. A time before the latest slot counts as in that one.
 func (w *retryWindow) slot(now time.Time) *retrySlot {
-	number := slotNumber(now)
-	s := &w.slots[int(number%int64(len(w.slots)))]
-	if s.number != number {
-		*s = retrySlot{number: number}
-	}
-	return s
-}
-
-// add adds the slots of another window; of those that would share a place the latest one is kept.
-func (w *retryWindow) add(other *retryWindow) {
-	for _, s := range other.slots {
-		if place := &w.slots[int(s.number%int64(len(w.slots)))]; s.number > place.number {
-			*place = s
-		}
+	switch passed := int64(now.Sub(w.latestStart) / budgetSlot); {
+	case passed >= int64(len(w.slots)):
+		clear(w.slots)
+		w.latestStart = now
+	case passed > 0:
+		copy(w.slots[passed:], w.slots)
+		clear(w.slots[:passed])
+		w.latestStart = w.latestStart.Add(time.Duration(passed) * budgetSlot)
 	}
+	return &w.slots[0]
 }
 
-// count returns the requests and retries up to a slot. Retries count for a slot longer than requests,
+// count returns the requests and retries in the window that ends now. Retries count for a slot longer than requests,
 // so that the ratio holds for windows that begin within a slot.
-func (w *retryWindow) count(current int64) (requests, retries int) {
-	for _, s := range w.slots {
-		age := current - s.number
-		if age < 0 || age >= int64(len(w.slots)) {
-			continue
-		}
+func (w *retryWindow) count(now time.Time) (requests, retries int) {
+	w.slot(now)
+	for i, s := range w.slots {
 		retries += s.retries
-		if age < int64(len(w.slots))-1 {
+		if i < len(w.slots)-1 {
 			requests += s.requests
 		}
 	}
--- a/jackdawd/internal/relay/budgets_test.go
+++ b/jackdawd/internal/relay/budgets_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jackdawhinge/standin/clock"
 )
 
 // Guards against retries beyond the operators' ratio in any window, and against refused retries while
@@ -95,3 +97,41 @@
 		})
 	}
 }
+
+// Guards against budgets that are spent again, or lost, on hosts whose time of day jumps: clock.AfterJump stands for the
+// jump, with the monotonic clock unchanged.
+func TestClockJumpsKeepBudget(t *testing.T) {
+	const requests = 100
+	for name, jumps := range map[string][]int{
+		"backward":               {-3},
+		"forward":                {3},
+		"far backward":           {-3600},
+		"far forward":            {3600},
+		"backward and forward":   {-3, 0, -2, 0},
+		"forward and backward":   {60, 0},
+		"backward several times": {-3, -6, -9, -12, -15},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, now, retries := NewRetryBudgets(0.2, 10*time.Second), time.Now(), 0
+			spend := func(jump int) {
+				for b.TryWithdraw(clock.AfterJump(now, jump), "reader") {
+					retries++
+				}
+			}
+			for range requests {
+				b.Deposit(now, "reader")
+			}
+			spend(0)
+			require.Equal(t, 17, retries)
+			for _, jump := range jumps {
+				now = now.Add(100 * time.Millisecond)
+				require.False(t, b.CanWithdraw(clock.AfterJump(now, jump), "reader"))
+				spend(jump)
+			}
+			require.Equal(t, 17, retries, "retries in a window")
+			now = now.Add(11 * time.Second)
+			spend(jumps[0])
+			require.Equal(t, 19, retries, "the next window")
+		})
+	}
+}
