--- a/jackdawd/internal/control/controller.go
+++ b/jackdawd/internal/control/controller.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"jackdawhinge/common/journal"
+	"jackdawhinge/common/monotonic"
 	"jackdawhinge/common/pause"
 	"jackdawhinge/common/register"
 	"jackdawhinge/common/roster"
@@ -55,7 +57,7 @@
 	log              Log
 	hostList         HostListReader
 	peers            CheckpointFetcher
-	listConfirmedAt  atomic.Int64
+	listConfirmedAt  monotonic.Mark
 	view             atomic.Pointer[routing.View]
 	latestCheckpoint atomic.Pointer[register.Checkpoint]
 	ready            atomic.Bool
@@ -126,10 +128,14 @@
 	return *p, true
 }
 
-// ListAge returns the time since the last successful read of the host list, or since the
-// Unix epoch before the first.
+// ListAge returns the time since the last successful read of the host list, or the longest duration
+// before the first.
 func (c *Controller) ListAge() time.Duration {
-	return time.Since(time.Unix(0, c.listConfirmedAt.Load()))
+	age, ok := c.listConfirmedAt.Since(time.Now())
+	if !ok {
+		return math.MaxInt64
+	}
+	return age
 }
 
 // Ready reports whether the host has had a configuration and a host list.
@@ -249,7 +255,7 @@
 			logrus.Warn("control: The host list is empty. The last one stays in use.")
 		default:
 			tag = newTag
-			c.listConfirmedAt.Store(time.Now().UnixNano())
+			c.listConfirmedAt.Set(time.Now())
 			if changed {
 				c.enqueue(ctx, func(s *state) { c.applyHostList(s, list) })
 			}
--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -13,6 +13,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/sirupsen/logrus"
 
+	"jackdawhinge/common/monotonic"
 	"jackdawhinge/common/peers"
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/admission"
@@ -155,8 +156,8 @@
 	coldLimiter *placement.ColdLimiter
 	handler     *relay.Handler
 	conns       *callerConns
-	// othersSeenAt is when other hosts last had requests while this one was busy, in Unix nanoseconds.
-	othersSeenAt    atomic.Int64
+	// othersSeenAt is when other hosts last had requests while this one was busy.
+	othersSeenAt    monotonic.Mark
 	callerServer    *khttp.Server
 	readinessServer *khttp.Server
 	adminServer     *khttp.Server
@@ -288,9 +289,10 @@
 		share.Own, share.Others = share.Own+own, share.Others+others
 	}
 	if share.Others > 0 {
-		h.othersSeenAt.Store(now.UnixNano())
+		h.othersSeenAt.Set(now)
 	}
-	share.OthersSeen = now.Sub(time.Unix(0, h.othersSeenAt.Load())) < othersSeenTTL
+	sinceSeen, ok := h.othersSeenAt.Since(now)
+	share.OthersSeen = ok && sinceSeen < othersSeenTTL
 	return rand.Float64() < admission.ConnectionRefusalRatio(delay, share)
 }
 
--- a/jackdawd/internal/fleet/software_history.go
+++ b/jackdawd/internal/fleet/software_history.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"jackdawhinge/common/monotonic"
 	"jackdawhinge/common/pause"
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/resumption"
@@ -41,16 +42,16 @@
 	return json.Marshal(stored)
 }
 
-func decodeHistory(data []byte) ([]resumption.Presence, error) {
+func decodeHistory(now time.Time, data []byte) ([]resumption.Presence, error) {
 	var stored []storedPresence
 	if err := json.Unmarshal(data, &stored); err != nil {
 		return nil, err
 	}
 	var presences []resumption.Presence
 	for _, s := range stored {
-		p := resumption.Presence{Version: s.Version, Since: time.UnixMilli(s.Since)}
+		p := resumption.Presence{Version: s.Version, Since: monotonic.FromUnixMilli(now, s.Since)}
 		if s.Until != 0 {
-			p.Until = time.UnixMilli(s.Until)
+			p.Until = monotonic.FromUnixMilli(now, s.Until)
 		}
 		presences = append(presences, p)
 	}
@@ -103,16 +104,16 @@
 		logrus.WithError(err).Info("fleet: Reading the history of software versions failed. Streams may not be resumable until it is read.")
 		return false
 	}
-	stored := map[string][]resumption.Presence{}
+	now, stored := time.Now(), map[string][]resumption.Presence{}
 	for pool, data := range encoded {
-		presences, err := decodeHistory(data)
+		presences, err := decodeHistory(now, data)
 		if err != nil {
 			logrus.WithError(err).WithField("pool", pool).Warn("fleet: Ignoring a history of software versions that cannot be decoded.")
 			continue
 		}
 		stored[pool] = presences
 	}
-	s.options.History.Merge(time.Now(), stored)
+	s.options.History.Merge(now, stored)
 	return true
 }
 
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
 
+	"jackdawhinge/common/monotonic"
 	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/admission"
 	"jackdawhinge/jackdawd/internal/control"
@@ -165,9 +166,9 @@
 	bodyBytes atomic.Int64
 	// slowWrites finds callers that read slowly.
 	slowWrites slowWriteMonitor
-	// refuseAfterUnixNano is when a draining host starts to refuse requests; 0 while it is not
+	// refuseAfter is when a draining host starts to refuse requests; 0 while it is not
 	// draining.
-	refuseAfterUnixNano atomic.Int64
+	refuseAfter monotonic.Mark
 	// acknowledged returns how many bytes the caller on the connection that a context carries has acknowledged.
 	acknowledged func(ctx context.Context) uint64
 	// aborted is done once Abort was called.
@@ -191,7 +192,7 @@
 // Drain starts to drain the host: each response closes its connection, and requests that arrive
 // after refuseFrom are refused.
 func (h *Handler) Drain(refuseFrom time.Time) {
-	h.refuseAfterUnixNano.Store(refuseFrom.UnixNano())
+	h.refuseAfter.Set(refuseFrom)
 }
 
 // Abort ends the requests in progress. Those whose callers have no response yet are refused.
@@ -202,8 +203,8 @@
 	arrived := time.Now()
 	defer h.inProgress.Add(-1)
 	overLimit := h.inProgress.Add(1) > maxInProgress
-	refuseAfter := h.refuseAfterUnixNano.Load()
-	if refuseAfter > 0 {
+	refuseAfter, isDraining := h.refuseAfter.Get()
+	if isDraining {
 		// Kept connections would bring new requests until the process exits.
 		w.Header().Set("Connection", "close")
 	}
@@ -211,7 +212,7 @@
 	defer func() { h.bodyBytes.Add(-j.reservedBytes) }()
 	var refusal *work.Refusal
 	switch {
-	case refuseAfter > 0 && arrived.UnixNano() > refuseAfter:
+	case isDraining && arrived.After(refuseAfter):
 		refusal = work.NewRefusal(http.StatusServiceUnavailable, work.Stopping, "the host is stopping")
 		refusal.RetryAfter = retryAfterTransient
 	case overLimit:
--- a/jackdawd/internal/requestlog/writer.go
+++ b/jackdawd/internal/requestlog/writer.go
@@ -72,19 +72,20 @@
 // sampler selects about maxPerSecond requests per second. It selects them by a hash of their
 // ID, so that hosts that see attempts of the same request select the same requests.
 type sampler struct {
-	maxPerSecond  int
-	second        int64
+	maxPerSecond int
+	// from is when the second of count began; with the time of day, each jump of the clock would begin another one.
+	from          time.Time
 	count         int
 	previousCount int
 }
 
 func (s *sampler) sample(now time.Time, id string) bool {
-	if second := now.Unix(); second != s.second {
-		s.previousCount = s.count
-		if second != s.second+1 {
-			s.previousCount = 0
+	if passed := now.Sub(s.from).Truncate(time.Second); passed > 0 {
+		s.from, s.previousCount = s.from.Add(passed), s.count
+		if passed > time.Second {
+			s.from, s.previousCount = now, 0
 		}
-		s.second, s.count = second, 0
+		s.count = 0
 	}
 	s.count++
 	rate := max(s.previousCount, s.count)
--- a/jackdawd/internal/requestlog/writer_test.go
+++ b/jackdawd/internal/requestlog/writer_test.go
@@ -19,6 +19,7 @@
 	"jackdawhinge/jackdawd/internal/relay"
 	"jackdawhinge/jackdawd/internal/telemetry"
 	"jackdawhinge/jackdawd/internal/work"
+	"jackdawhinge/standin/clock"
 )
 
 func newLogger() (*logrus.Logger, *bytes.Buffer) {
@@ -162,6 +163,21 @@
 	require.Greater(t, lines/3, 10*maxRoutinePerSecond/2)
 }
 
+// Guards against a log that grows beyond its rate on a host whose time of day jumps again and again: clock.AfterJump
+// stands for the jumps, with the monotonic clock unchanged.
+func TestClockJumpsKeepSampleRate(t *testing.T) {
+	const requests, seconds = 200, 10
+	s, now, sampled := &sampler{maxPerSecond: maxRoutinePerSecond}, time.Now(), 0
+	for i := range requests * seconds {
+		if s.sample(clock.AfterJump(now, i%7-3), fmt.Sprint(i)) {
+			sampled++
+		}
+		now = now.Add(time.Second / requests)
+	}
+	require.Less(t, sampled, seconds*maxRoutinePerSecond*2)
+	require.Greater(t, sampled, seconds*maxRoutinePerSecond/2)
+}
+
 // Guards against requests that hang because nobody reads standard output: 10,000 of them must end
 // without delay, and lines that don't fit into the buffer must be counted as dropped.
 func TestStalledLogReaderBlocksNoRequest(t *testing.T) {
