--- a/jackdawd/internal/exchange/client.go
+++ b/jackdawd/internal/exchange/client.go
@@ -65,8 +65,8 @@
 	HeaderTimeout time.Duration
 	// AbortOnTimeout is called when the timeout for the header, or later the one for reads of the body,
 	// has passed without data, and then each quarter of it, and reports whether to stop waiting; nil
-	// means always.
-	AbortOnTimeout func() bool
+	// means always. Until data comes, other goroutines may call recheck for it to be called again at once.
+	AbortOnTimeout func(recheck func()) bool
 	// MaxIdleTime bounds how long the connection may have been idle; 0 means no bound. A request that
 	// must not run twice avoids connections that the upstream may be about to close.
 	MaxIdleTime time.Duration
@@ -178,7 +178,7 @@
 		c.mu.Unlock()
 		return nil, err
 	}
-	in := &input{conn: raw}
+	in := newInput(raw)
 	return &conn{Conn: raw, input: in, reader: bufio.NewReaderSize(in, readBufferSize), address: req.Address, upstream: req.Upstream}, nil
 }
 
--- a/jackdawd/internal/exchange/input.go
+++ b/jackdawd/internal/exchange/input.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"time"
 )
 
@@ -15,13 +16,19 @@
 	// timeout is how long a read may take; 0 means that it is not bounded.
 	timeout time.Duration
 	// abort reports whether to stop reading after a timeout; nil means always.
-	abort func() bool
+	abort func(recheck func()) bool
 	// hasDeadline is set while the connection has a read deadline.
 	hasDeadline bool
 	// timedOut is set once a read was given up.
 	timedOut bool
+	// mu protects mustRecheck, and the deadline against rechecks.
+	mu sync.Mutex
+	// mustRecheck is set if abort is to be called at once.
+	mustRecheck bool
 }
 
+func newInput(conn net.Conn) *input { return &input{conn: conn} }
+
 // abortRetryDivisor is the divisor of a timeout that gives the interval at which abort is called again. A whole
 // timeout later, the caller may have left.
 const abortRetryDivisor = 4
@@ -34,7 +41,7 @@
 		switch {
 		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
 			return n, err
-		case i.abort == nil || i.abort():
+		case i.abort == nil || i.abort(i.recheck):
 			i.timedOut = true
 			return 0, err
 		}
@@ -43,17 +50,34 @@
 
 // setDeadline bounds the next read to d; 0 means that it is not bounded.
 func (i *input) setDeadline(d time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	deadline := time.Time{}
-	if d > 0 {
+	switch {
+	case i.mustRecheck:
+		deadline = time.Now()
+	case d > 0:
 		deadline = time.Now().Add(d)
 	}
-	if i.hasDeadline || d > 0 {
+	if i.hasDeadline || !deadline.IsZero() {
 		// Setting a deadline fails only on a closed connection. What arrived before is still valid, and
 		// reads return at once.
 		_ = i.conn.SetReadDeadline(deadline)
 	}
-	i.hasDeadline = d > 0
+	i.hasDeadline, i.mustRecheck = !deadline.IsZero(), false
+}
+
+// recheck ends the read in progress, or the next one, for abort to be called.
+func (i *input) recheck() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.mustRecheck, i.hasDeadline = true, true
+	_ = i.conn.SetReadDeadline(time.Now())
 }
 
 // reset prepares for the next request on the connection, which has no deadline.
-func (i *input) reset() { *i = input{conn: i.conn} }
+func (i *input) reset() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.timeout, i.abort, i.hasDeadline, i.timedOut, i.mustRecheck = 0, nil, false, false, false
+}
--- a/jackdawd/internal/relay/attempt.go
+++ b/jackdawd/internal/relay/attempt.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"jackdawhinge/common/traffic"
@@ -20,11 +18,6 @@
 	firstByteTimeoutFactor = 2
 	// minFirstByteTimeout is the minimum of that timeout.
 	minFirstByteTimeout = 600 * time.Millisecond
-	// maxBufferedBytes is the size up to which a response is buffered before it is sent to the
-	// caller, so that another upstream can be tried if it is truncated.
-	maxBufferedBytes = 256 << 10
-	// readBufferBytes is the size of the buffer that responses are read into.
-	readBufferBytes = 16 << 10
 )
 
 // firstByteTimeout returns how long an upstream may be silent before another is tried, or 0 if no
@@ -61,66 +54,51 @@
 	return j.route.Repeatable() && sent < j.route.MaxUpstreams
 }
 
-// attempt sends the request to an upstream and forwards the response to the caller.
-func (j *job) attempt(ctx context.Context, u *traffic.Upstream) result {
-	j.attempted, j.current = append(j.attempted, u.Instance()), u
-	now := time.Now()
-	j.attemptStartedAt, j.connectTime, j.through, j.sent = now, 0, "", nil
-	j.firstEventAt, j.firstByteAt, j.attemptEndedAt, j.clearedParts = time.Time{}, time.Time{}, time.Time{}, false
-	own := j.Loads.Begin(now, u)
-	j.RequestStats.RecordStart(now, j.pool.Name)
-	if j.cacheable {
-		j.Balancer.Begin(j.affinityKey)
-	}
-	j.startInPool()
-	var release func()
-	var response *exchange.Response
-	complete, refused, ended := false, false, false
-	j.endAttempt = func(complete bool) {
-		if ended {
-			return
-		}
-		ended = true
-		if response != nil {
-			response.Close()
-		}
-		if release != nil {
-			release()
-		}
-		now := time.Now()
-		j.attemptEndedAt = now
-		j.endInPool(now, refused)
-		j.Loads.End(now, u)
-		if complete {
-			j.RequestStats.RecordEnd(now, j.pool.Name, j.route.Name, now.Sub(j.attemptStartedAt))
-		}
-		if j.cacheable {
-			j.Balancer.End(j.affinityKey)
-		}
-		if j.sent != nil {
-			j.sent.RecordEnd(now, complete)
-		}
-	}
-	defer func() { j.endAttempt(complete) }()
+// try has an upstream work on the request and forwards its response to the caller. A successor was sent the request
+// already.
+func (j *job) try(ctx context.Context, u *traffic.Upstream) result {
+	var err error
+	if s := j.successor; s != nil {
+		j.successor, j.current = nil, s.attempt
+		<-s.done
+		err = s.err
+	} else {
+		j.current = j.startAttempt(u)
+		err = j.send(ctx, j.current)
+	}
+	a, complete := j.current, false
+	defer func() { j.closeAttempt(a, complete) }()
+	if r, ended := j.handleHead(ctx, a, err); ended {
+		return r
+	}
+	r := j.forward(ctx, a)
+	complete = r.verdict == answered
+	return r
+}
+
+// send sends the request to the upstream of an attempt and reads the header of the response.
+func (j *job) send(ctx context.Context, a *attempt) error {
 	var ok bool
-	if release, ok = j.reserved, j.reserved != nil; !ok {
-		release, ok = j.takeBrittle(u, own)
-	}
-	if j.reserved = nil; !ok {
-		return result{verdict: unsent, err: errNoRoomAtBrittle}
+	if a.release, ok = j.takeBrittle(a.upstream, a.own); !ok {
+		return errNoRoomAtBrittle
 	}
 	if _, quarantined := j.findQuarantined(); quarantined && !j.probing {
-		return result{verdict: unsent, err: errQuarantined}
+		return errQuarantined
 	}
-	j.watchdog = j.startWatchdog(ctx, u)
-	defer j.watchdog.stop()
-	req := j.upstreamRequest(u)
+	a.watchdog = j.startWatchdog(ctx, a.upstream)
 	var err error
-	if response, err = j.Client.Do(ctx, req); err != nil {
-		return j.handleRequestError(ctx, u, err)
+	a.response, err = j.Client.Do(ctx, j.upstreamRequest(ctx, a, j.firstByteTimeout(j.sentCount+1)))
+	return err
+}
+
+// handleHead handles the header of the response to an attempt, or the error instead of one. It returns the result of
+// the attempt if the upstream does not run the request.
+func (j *job) handleHead(ctx context.Context, a *attempt, err error) (r result, ended bool) {
+	if err != nil {
+		return j.handleRequestError(ctx, a, err), true
 	}
 	j.sentCount++
-	head := response.Head()
+	u, head := a.upstream, a.response.Head()
 	if head.Load != nil {
 		j.Loads.Record(time.Now(), u, *head.Load)
 		j.enableByPace(head.Load)
@@ -137,12 +115,12 @@
 	}
 	switch {
 	case isReplaced:
-		refused = true
+		a.rejected = true
 		j.sentCount--
 		j.Membership.RemoveReplaced(u.Instance())
-		return result{verdict: replaced}
+		return result{verdict: replaced}, true
 	case head.NotExecuted:
-		refused = true
+		a.rejected = true
 		if head.Load == nil && u.Slots > 0 {
 			// The upstream reports no load, only that it is full. Without an assumed load the next
 			// requests would be sent there only to be rejected as well.
@@ -152,29 +130,49 @@
 		case j.Brittleness.IsBrittle(time.Now(), u.Pool):
 			j.Brittleness.RecordRejection(time.Now(), u, j.brittleShare())
 		case head.Backoff == 0:
-			j.reportToMembership(ctx, u, control.ConnectionFailed)
+			j.reportToMembership(ctx, a, control.ConnectionFailed)
 		}
-		return result{verdict: rejected}
+		return result{verdict: rejected}, true
 	}
 	j.mayHaveRun = true
-	j.firstByteAt = time.Now()
-	j.sent.RecordFirstByte(j.firstByteAt)
-	isStream := head.EventStream && response.Status() == http.StatusOK
+	a.firstByteAt = time.Now()
+	a.sent.RecordFirstByte(a.firstByteAt)
+	return result{}, false
+}
+
+// forward forwards the response to an attempt, whose header was handled, to the caller.
+func (j *job) forward(ctx context.Context, a *attempt) result {
+	response := a.response
+	err := j.responseError(response)
+	switch {
+	case err != nil:
+		return j.conclude(ctx, a, result{verdict: broken, err: err})
+	case j.successor != nil && response.Status() >= http.StatusInternalServerError:
+		return j.conclude(ctx, a, result{verdict: failed})
+	}
+	j.dropSuccessor()
 	switch {
-	case response.Status() < http.StatusMultipleChoices && !head.Signed:
-		return j.conclude(ctx, u, result{verdict: broken, err: errUnsigned})
-	case isStream:
-		r := j.relayStream(ctx, response)
-		complete = r.verdict == answered
-		return j.conclude(ctx, u, r)
-	case j.headerSent:
-		return j.conclude(ctx, u, result{verdict: broken, err: errNotStream})
+	case isStream(response):
+		return j.conclude(ctx, a, j.relayStream(ctx, response))
 	case !j.route.Repeatable() && claimsNotRun(response.Status()):
-		return j.conclude(ctx, u, result{verdict: unproven, err: &unprovenError{response.Status()}})
+		return j.conclude(ctx, a, result{verdict: unproven, err: &unprovenError{response.Status()}})
 	}
-	r := j.relayBuffered(ctx, response)
-	complete = r.verdict == answered
-	return j.conclude(ctx, u, r)
+	return j.conclude(ctx, a, j.relayBuffered(ctx, response))
+}
+
+// responseError returns why a response is not forwarded, by its header, or nil if it may be.
+func (j *job) responseError(response *exchange.Response) error {
+	switch {
+	case response.Status() < http.StatusMultipleChoices && !response.Head().Signed:
+		return errUnsigned
+	case j.headerSent && !isStream(response):
+		return errNotStream
+	}
+	return nil
+}
+
+func isStream(response *exchange.Response) bool {
+	return response.Head().EventStream && response.Status() == http.StatusOK
 }
 
 // takeBrittle reports whether the request may be sent to an upstream that may be brittle; own counts
@@ -213,98 +211,73 @@
 	return j.Brittleness.SpareSlots(now, u, load, j.brittleShare())
 }
 
-// recordConnected records that the attempt has a connection. The time until then says nothing of the
+// recordConnected records that an attempt has a connection. The time until then says nothing of the
 // upstream's queue.
-func (j *job) recordConnected(u *traffic.Upstream, through string) {
+func (j *job) recordConnected(a *attempt, through string) {
 	now := time.Now()
-	j.connectTime, j.through = now.Sub(j.attemptStartedAt), through
-	if j.sent == nil {
-		j.sent = j.Admission.RecordSent(now, j.admissionRequest(), u.Instance(), j.delay)
+	a.connectTime, a.through = now.Sub(a.startedAt), through
+	if a.sent == nil {
+		a.sent = j.Admission.RecordSent(now, a.admission, a.upstream.Instance(), a.delay)
 	}
 }
 
 // handleRequestError returns the result of a request that got no response header.
-func (j *job) handleRequestError(ctx context.Context, u *traffic.Upstream, err error) result {
+func (j *job) handleRequestError(ctx context.Context, a *attempt, err error) result {
 	var notSent *exchange.NotSentError
-	if errors.As(err, &notSent) {
+	switch {
+	case errors.Is(err, errNoRoomAtBrittle), errors.Is(err, errQuarantined):
+		return result{verdict: unsent, err: err}
+	case errors.As(err, &notSent):
 		if !errors.Is(err, exchange.ErrTooManyConnections) {
-			j.reportToMembership(ctx, u, control.ConnectionFailed)
+			j.reportToMembership(ctx, a, control.ConnectionFailed)
 		}
 		return result{verdict: unsent, err: err}
 	}
 	j.sentCount++
 	j.mayHaveRun = true
-	return j.conclude(ctx, u, result{verdict: broken, err: err})
+	return j.conclude(ctx, a, result{verdict: broken, err: err})
 }
 
 // conclude reports the result of an attempt to prompt placement, the quarantine and membership, and
 // returns it.
-func (j *job) conclude(ctx context.Context, u *traffic.Upstream, r result) result {
+func (j *job) conclude(ctx context.Context, a *attempt, r result) result {
 	if r.verdict == answered && j.cacheable {
-		j.CacheLocations.Record(time.Now(), j.affinityKey, u.Instance())
+		j.CacheLocations.Record(time.Now(), j.affinityKey, a.upstream.Instance())
 	}
-	j.reportToQuarantine(u, r)
+	j.reportToQuarantine(a, r)
 	switch r.verdict {
 	case callerLeft, cutOff:
 	case failed:
-		j.reportToMembership(ctx, u, control.Failed)
+		j.reportToMembership(ctx, a, control.Failed)
 	case unproven:
-		j.reportUnproven(ctx, u, r)
+		j.reportUnproven(ctx, a, r)
 	case broken:
-		j.reportToMembership(ctx, u, control.ConnectionFailed)
+		j.reportToMembership(ctx, a, control.ConnectionFailed)
 	default:
-		j.reportToMembership(ctx, u, control.Succeeded)
+		j.reportToMembership(ctx, a, control.Succeeded)
 	}
 	return r
 }
 
 // reportUnproven reports a response whose status is not forwarded to membership as one that is: a server error
 // counts against the upstream.
-func (j *job) reportUnproven(ctx context.Context, u *traffic.Upstream, r result) {
+func (j *job) reportUnproven(ctx context.Context, a *attempt, r result) {
 	var unproven *unprovenError
 	observed := control.Succeeded
 	if errors.As(r.err, &unproven) && unproven.status >= http.StatusInternalServerError {
 		observed = control.Failed
 	}
-	j.reportToMembership(ctx, u, observed)
+	j.reportToMembership(ctx, a, observed)
 }
 
 // reportToMembership reports the result of an attempt to membership, once for each attempt. One that
 // ended because the caller disconnected or the deadline passed does not count against the upstream.
-func (j *job) reportToMembership(ctx context.Context, u *traffic.Upstream, observed control.Result) {
-	if j.watchdog.stop() && (observed == control.Succeeded || ctx.Err() == nil) {
-		j.Membership.Observe(u.Instance(), observed)
+func (j *job) reportToMembership(ctx context.Context, a *attempt, observed control.Result) {
+	if a.watchdog.stop() && (observed == control.Succeeded || ctx.Err() == nil) {
+		j.Membership.Observe(a.upstream.Instance(), observed)
 	}
 }
 
-// A bufferedResponse is a response that was read completely, or up to maxBufferedBytes.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// relayBuffered forwards a response that is no stream.
-func (j *job) relayBuffered(ctx context.Context, resp *exchange.Response) result {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
-	if err != nil {
-		return result{verdict: broken, err: err}
-	}
-	buffered := &bufferedResponse{status: resp.Status(), header: resp.Header(), body: body}
-	if len(body) == maxBufferedBytes {
-		return j.relayUnbuffered(ctx, resp, buffered)
-	}
-	if resp.Status() >= http.StatusInternalServerError {
-		return result{verdict: failed, response: buffered, unframed: !resp.Framed()}
-	}
-	end := result{verdict: answered, unframed: !resp.Framed()}
-	if j.readsAhead() {
-		return j.writeBufferedAhead(ctx, resp, buffered, &end)
-	}
-	j.writeBuffered(buffered)
-	return end
-}
-
 var (
 	errUnsigned  = errors.New("a success without the upstream's signature")
 	errNotStream = errors.New("no stream where one should go on")
@@ -333,68 +306,3 @@
 	}
 	return false
 }
-
-// writeBuffered writes a buffered response to the caller.
-func (j *job) writeBuffered(response *bufferedResponse) {
-	j.writeBufferedHeader(response)
-	// A write error means that the caller has disconnected.
-	_, _ = j.w.Write(response.body)
-}
-
-// writeBufferedHeader writes the header of a buffered response to the caller.
-func (j *job) writeBufferedHeader(response *bufferedResponse) {
-	if len(response.body) > 0 {
-		j.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
-	}
-	j.writeHeader(response.status, response.header)
-}
-
-// writeBufferedAhead writes a response to the caller whose upstream has been read to its end, so that its slot is
-// free already.
-func (j *job) writeBufferedAhead(ctx context.Context, resp *exchange.Response, buffered *bufferedResponse, end *result) result {
-	j.endAttempt(true)
-	j.writeBufferedHeader(buffered)
-	j.watchdog.suspend()
-	return j.relayAhead(resp, unbufferedSource{j, ctx}, buffered.body, end)
-}
-
-// writeHeader writes the header of a response to the caller.
-func (j *job) writeHeader(status int, header http.Header) {
-	j.Protocol.CopyResponseHeader(j.w.Header(), header)
-	if header.Get("Content-Type") == "" {
-		// Otherwise the HTTP server would guess a type that the upstream did not send.
-		j.w.Header()["Content-Type"] = nil
-	}
-	j.watchdog.reset(j.eventTimeout())
-	j.headerSent, j.status, j.timeToFirstByte = true, status, time.Since(j.arrived)
-	j.w.WriteHeader(status)
-}
-
-// relayUnbuffered forwards a response that is too large to buffer, of which prefix was already
-// read.
-func (j *job) relayUnbuffered(ctx context.Context, resp *exchange.Response, prefix *bufferedResponse) result {
-	if resp.ContentLength() >= 0 {
-		// The length lets the caller detect a truncated response.
-		j.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength(), 10))
-	}
-	j.writeHeader(prefix.status, prefix.header)
-	if j.readsAhead() {
-		return j.relayAhead(resp, unbufferedSource{j, ctx}, prefix.body, nil)
-	}
-	if _, err := j.w.Write(prefix.body); err != nil {
-		return result{verdict: callerLeft, err: err}
-	}
-	if _, err := io.CopyBuffer(writerOnly{j.w}, readerOnly{resp}, make([]byte, readBufferBytes)); err != nil {
-		var interrupted *exchange.InterruptedError
-		if !errors.As(err, &interrupted) || j.r.Context().Err() != nil {
-			return result{verdict: callerLeft, err: err}
-		}
-		return result{verdict: broken, err: err}
-	}
-	return result{verdict: answered, unframed: !resp.Framed()}
-}
-
-// writerOnly and readerOnly hide all other methods, so that io.CopyBuffer uses the given buffer.
-type writerOnly struct{ io.Writer }
-
-type readerOnly struct{ io.Reader }
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -42,12 +42,6 @@
 	suspect quarantine.Fingerprint
 	// probing is set if the request is sent to an upstream although it is quarantined.
 	probing bool
-	// firstEventAt is when the latest attempt brought its first event; zero before it. clearedParts is
-	// set once the attempt has lasted long enough to clear the parts of the prompt.
-	firstEventAt time.Time
-	// firstByteAt is when the response to the latest attempt began; zero before it.
-	firstByteAt  time.Time
-	clearedParts bool
 	// reservedBytes is the part of Handler.bodyBytes that is reserved for the body.
 	reservedBytes int64
 
@@ -74,29 +68,14 @@
 	// software is that of the upstream that sent the first event of the stream; 0 while there is no
 	// event, so that any upstream may send it.
 	software traffic.Software
-	// current is the upstream of the latest attempt.
-	current *traffic.Upstream
-	// successor takes the request over from the current upstream, with a retry taken from the budget; nil for none.
-	successor *candidate
-	// reserved gives back the place at the successor, or at the next upstream until its attempt begins; nil for none.
-	reserved func()
+	// current is the latest attempt; nil before the first.
+	current *attempt
+	// successor is asked to take the request over while the upstream of the current attempt is silent; nil for none.
+	successor *successor
 	// ahead forwards the response of the current upstream if it is read ahead; else nil.
 	ahead *readAhead
 	// attempted holds the upstreams that were sent the request or could not be reached.
 	attempted []traffic.UpstreamInstance
-	// attemptStartedAt is when the latest attempt started, connectTime how long it took to get a
-	// connection; 0 if it got none.
-	attemptStartedAt time.Time
-	connectTime      time.Duration
-	// attemptEndedAt is when the upstream was done with the latest attempt; zero before it.
-	attemptEndedAt time.Time
-	// through is the host that the connection leads through; empty for none.
-	through string
-	// sent is the latest attempt as admission control counts it; nil before it has a connection.
-	sent *admission.Attempt
-	// endAttempt records that the upstream is done with the latest attempt and closes its response; complete is
-	// set if the whole response was received. Further calls have no effect.
-	endAttempt func(complete bool)
 	// sentCount is the number of upstreams that were sent the request.
 	sentCount int
 	// mayHaveRun is set once an upstream may have executed the request.
@@ -110,8 +89,6 @@
 	writeDeadline writeDeadline
 	// cause is why the response is not complete, if it isn't; set once the request has ended.
 	cause EndCause
-	// watchdog reports the current upstream if it is silent for too long.
-	watchdog *watchdog
 	// configurationAge is how old the configuration may have been when the request arrived.
 	configurationAge time.Duration
 	timeToFirstByte  time.Duration
@@ -145,6 +122,8 @@
 	unproven verdict = "unproven"
 	// broken: the response was truncated, invalid or timed out; the request may have been executed.
 	broken verdict = "broken"
+	// unneeded: the upstream was asked to take the request over, and the one before it went on.
+	unneeded verdict = "unneeded"
 )
 
 // A result is the outcome of an attempt. For a failed one it holds the upstream's error response,
@@ -194,7 +173,7 @@
 		j.refuse(refusal)
 		return
 	}
-	defer j.releaseReserved()
+	defer j.dropSuccessor()
 	var last result
 	for range maxAttempts {
 		upstream := j.nextUpstream()
@@ -206,7 +185,7 @@
 			break
 		}
 		last = j.tracedAttempt(ctx, upstream)
-		j.addStep(Step{Decision: Tried, Upstream: upstream.ID, Verdict: string(last.verdict), Err: last.err, Connect: j.connectTime, Through: j.through})
+		j.addStep(Step{Decision: Tried, Upstream: upstream.ID, Verdict: string(last.verdict), Err: last.err, Connect: j.current.connectTime, Through: j.current.through})
 		if !j.shouldRetry(ctx, last) {
 			break
 		}
@@ -220,7 +199,7 @@
 		attribute.String("upstream", u.ID), attribute.String("pool", u.Pool), attribute.Int("try", len(j.attempted)+1),
 	))
 	defer span.End()
-	r := j.attempt(ctx, u)
+	r := j.try(ctx, u)
 	span.SetAttributes(attribute.String("verdict", string(r.verdict)))
 	if r.err != nil {
 		span.RecordError(r.err)
@@ -255,7 +234,7 @@
 	case quarantined:
 		return reasonQuarantined
 	case r.verdict == unsent, j.successor != nil:
-		// No upstream has received the request, so that a retry adds no load, or the retry is taken already.
+		// No upstream has received the request, so that a retry adds no load, or the successor has been asked already.
 		return ""
 	case r.verdict != replaced && j.sentCount >= j.route.MaxUpstreams:
 		return "upstreams-bounded"
@@ -360,15 +339,17 @@
 // maxConnections returns the maximum number of this host's connections to an upstream; 0 means no bound.
 func (j *job) maxConnections() int { return j.pool.MaxConnections / hostConnectionDivisor }
 
-// upstreamRequest returns the request to an upstream.
-func (j *job) upstreamRequest(u *traffic.Upstream) exchange.Request {
+// upstreamRequest returns the request of an attempt. headerTimeout is how long the upstream may be silent until its
+// response begins, 0 for no bound.
+func (j *job) upstreamRequest(ctx context.Context, a *attempt, headerTimeout time.Duration) exchange.Request {
+	u := a.upstream
 	req := exchange.Request{
 		Address: u.Address, Upstream: u.Instance(), ID: j.request.ID, Method: j.r.Method, Target: requestTarget(j.r), Host: j.r.Host,
 		Header: j.Protocol.UpstreamHeader(j.r.Header, j.forwardMetadata(u)), Body: j.body,
 		MaxConnections: j.maxConnections(),
-		HeaderTimeout:  j.firstByteTimeout(j.sentCount + 1),
-		OnConnected:    func(through string) { j.recordConnected(u, through) },
-		AbortOnTimeout: func() bool { return !j.isFull(u) && !j.isCallerBehind() && j.findSuccessor() },
+		HeaderTimeout:  headerTimeout,
+		OnConnected:    func(through string) { j.recordConnected(a, through) },
+		AbortOnTimeout: func(recheck func()) bool { return j.isSucceeded(ctx, recheck) },
 	}
 	if !j.route.Repeatable() {
 		req.MaxIdleTime = maxIdleNonRepeatable
--- a/jackdawd/internal/relay/pool_admission.go
+++ b/jackdawd/internal/relay/pool_admission.go
@@ -56,16 +56,16 @@
 }
 
 // endInPool counts an attempt as ended, with the time for which it occupied a slot unless the upstream rejected it.
-func (j *job) endInPool(now time.Time, rejected bool) {
+func (j *job) endInPool(now time.Time, a *attempt) {
 	if j.PoolAdmission == nil {
 		return
 	}
 	inSlot := time.Duration(0)
-	if j.sent != nil && !rejected {
-		sentAt := j.attemptStartedAt.Add(j.connectTime)
+	if a.sent != nil && !a.rejected {
+		sentAt := a.startedAt.Add(a.connectTime)
 		waited := now.Sub(sentAt)
-		if !j.firstByteAt.IsZero() {
-			waited = max(j.firstByteAt.Sub(sentAt)-j.Admission.TimeToFirstByte(j.route.Name), 0)
+		if !a.firstByteAt.IsZero() {
+			waited = max(a.firstByteAt.Sub(sentAt)-j.Admission.TimeToFirstByte(j.route.Name), 0)
 		}
 		inSlot = max(now.Sub(sentAt)-waited, 1)
 	}
--- a/jackdawd/internal/relay/quarantine.go
+++ b/jackdawd/internal/relay/quarantine.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"jackdawhinge/common/traffic"
 	"jackdawhinge/jackdawd/internal/exchange"
 	"jackdawhinge/jackdawd/internal/quarantine"
 	"jackdawhinge/jackdawd/internal/work"
@@ -91,18 +90,18 @@
 // reportToQuarantine reports the result of an attempt to the quarantine: an upstream that
 // crashes counts against the request, one that answers counts in its favor. A response without a frame
 // counts for neither, as it ends in the same way if the upstream crashes.
-func (j *job) reportToQuarantine(u *traffic.Upstream, r result) {
+func (j *job) reportToQuarantine(a *attempt, r result) {
 	now := time.Now()
 	ended := now
-	if !j.attemptEndedAt.IsZero() {
+	if !a.endedAt.IsZero() {
 		// The caller may have read the response long after the upstream has crashed.
-		ended = j.attemptEndedAt
+		ended = a.endedAt
 	}
 	switch {
 	case r.verdict == broken && (exchange.ClosedByPeer(r.err) || errors.Is(r.err, errTruncatedEvent)):
 		j.setSubjects()
 		j.suspect = j.subjects[0].Fingerprint
-		j.Quarantine.RecordCrash(now, j.crashSubjects(ended), quarantine.CrashRecord{Start: u.ShortHash(), Ran: ended.Sub(j.attemptStartedAt)})
+		j.Quarantine.RecordCrash(now, j.crashSubjects(a, ended), quarantine.CrashRecord{Start: a.upstream.ShortHash(), Ran: ended.Sub(a.startedAt)})
 	case (r.verdict == answered || r.verdict == failed || r.verdict == unproven) && !r.unframed:
 		j.setSubjects()
 		j.Quarantine.RecordResponse(now, j.subjects)
@@ -111,26 +110,26 @@
 
 // crashSubjects returns the subjects of the request that may be why an upstream has crashed. Parts are
 // not if the upstream had written the response for long.
-func (j *job) crashSubjects(now time.Time) []quarantine.Subject {
-	if j.isLastingStream(now) {
+func (j *job) crashSubjects(a *attempt, now time.Time) []quarantine.Subject {
+	if a.isLastingStream(now) {
 		return j.subjects[:1]
 	}
 	return j.subjects
 }
 
-// isLastingStream reports whether the latest attempt has brought events for longer than an upstream
+// isLastingStream reports whether the attempt has brought events for longer than an upstream
 // lives that writes a response on a part that crashes it.
-func (j *job) isLastingStream(now time.Time) bool {
-	return !j.firstEventAt.IsZero() && now.Sub(j.firstEventAt) >= lastingStreamTime
+func (a *attempt) isLastingStream(now time.Time) bool {
+	return !a.firstEventAt.IsZero() && now.Sub(a.firstEventAt) >= lastingStreamTime
 }
 
 // clearPartsOfLastingStream reports to the quarantine that an upstream writes a response and lives on. While
 // engines crash every few moments, few long streams reach their end.
 func (j *job) clearPartsOfLastingStream() {
-	now := time.Now()
-	if j.clearedParts || !j.isLastingStream(now) {
+	now, a := time.Now(), j.current
+	if a.clearedParts || !a.isLastingStream(now) {
 		return
 	}
-	j.clearedParts = true
+	a.clearedParts = true
 	j.Quarantine.RecordResponse(now, j.partSubjects())
 }
--- a/jackdawd/internal/relay/read_ahead.go
+++ b/jackdawd/internal/relay/read_ahead.go
@@ -50,7 +50,7 @@
 }
 
 func (s eventSource) read(resp *exchange.Response, buf []byte) ([]byte, *result) {
-	if !s.firstEventAt.IsZero() {
+	if !s.current.firstEventAt.IsZero() {
 		s.setEventTimeout(resp)
 		s.clearPartsOfLastingStream()
 	}
@@ -61,7 +61,7 @@
 
 func (s eventSource) write(part []byte) error { return s.sendEvents(part) }
 
-func (s eventSource) resume() { s.watchdog.reset(s.eventReportTime()) }
+func (s eventSource) resume() { s.current.watchdog.reset(s.eventReportTime()) }
 
 // unbufferedSource reads a response that is no stream.
 type unbufferedSource struct {
@@ -383,8 +383,8 @@
 	a.mu.Lock()
 	a.upstreamDone = true
 	a.mu.Unlock()
-	a.watchdog.suspend()
-	a.endAttempt(end.verdict == answered)
+	a.current.watchdog.suspend()
+	a.endAttempt(a.current, end.verdict == answered)
 }
 
 // deliver holds a part for the writer, or hands it over if the writer waits for it, and reports whether the
@@ -453,7 +453,7 @@
 // awaitRoom waits until there may be room, or the writer waits for the reader. The upstream is not to blame for
 // its silence meanwhile.
 func (a *readAhead) awaitRoom() {
-	a.watchdog.suspend()
+	a.current.watchdog.suspend()
 	retry := time.NewTimer(roomRetryInterval)
 	defer retry.Stop()
 	select {
--- a/jackdawd/internal/relay/software.go
+++ b/jackdawd/internal/relay/software.go
@@ -58,7 +58,7 @@
 	if j.route.Kind != traffic.Streaming || !j.route.Resumable {
 		return
 	}
-	j.software = j.current.Software()
+	j.software = j.current.upstream.Software()
 	id := j.request.ID
 	if j.request.ResumeAfter != "" && j.request.ResumedID != "" {
 		id = j.request.ResumedID
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -58,6 +58,9 @@
 // follow.
 func (j *job) readEvents(ctx context.Context, resp *exchange.Response, buf []byte) (events []byte, end *result) {
 	n, err := resp.Read(buf)
+	if n > 0 || errors.Is(err, io.EOF) {
+		j.dropSuccessor()
+	}
 	events = j.splitter.Add(buf[:n])
 	switch {
 	case errors.Is(err, io.EOF) && (j.splitter.PendingBytes() > 0 || j.splitter.EventCount() == 0):
@@ -103,10 +106,10 @@
 		// A resumed stream keeps the header of its first upstream.
 		j.writeHeader(resp.Status(), resp.Header())
 	}
-	if j.firstEventAt.IsZero() {
-		j.firstEventAt = time.Now()
+	if j.current.firstEventAt.IsZero() {
+		j.current.firstEventAt = time.Now()
 	}
-	j.watchdog.reset(j.eventReportTime())
+	j.current.watchdog.reset(j.eventReportTime())
 }
 
 // writeEvents writes complete events to the caller and flushes them.
