--- a/jackdawd/internal/exchange/client.go
+++ b/jackdawd/internal/exchange/client.go
@@ -29,9 +29,11 @@
 	// maxRelayedIdle bounds how long an idle connection through another host is pooled, as it takes
 	// one of the few that the other host holds for all.
 	maxRelayedIdle = 2 * time.Second
+	// maxHeaderBytes bounds the header of a response and the interim responses before it.
+	maxHeaderBytes = 64 << 10
 	// maxStaleResponses bounds the responses to earlier requests that are skipped.
 	maxStaleResponses = 3
-	// maxStaleBodyBytes bounds how much of the body of such a response is skipped.
+	// maxStaleBodyBytes bounds the body of such a response.
 	maxStaleBodyBytes = 1 << 20
 	// concurrentWriteThreshold is the size in bytes above which a body is written while the
 	// response is read: an upstream may respond before it has read all of the body, and then read
@@ -60,8 +62,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// HeaderTimeout is how long the upstream may be silent until the header of the response is complete; 0
-	// means that only the context bounds it.
+	// HeaderTimeout is how long the upstream may take until the header of the response is complete, whatever it sends
+	// before that; 0 means that only the context bounds it.
 	HeaderTimeout time.Duration
 	// AbortOnTimeout is called when the timeout for the header, or later the one for reads of the body,
 	// has passed without data, and then each quarter of it, and reports whether to stop waiting; nil
--- a/jackdawd/internal/exchange/errors.go
+++ b/jackdawd/internal/exchange/errors.go
@@ -14,6 +14,9 @@
 // ErrReadTimeout means that the upstream sent nothing within the read timeout.
 var ErrReadTimeout = errors.New("upstream sent no data within the read timeout")
 
+// ErrHeaderTooLarge means that the upstream sent more before the end of the response's header than any response needs.
+var ErrHeaderTooLarge = errors.New("upstream sent too much before the end of the header")
+
 // A NotSentError means that nothing of the request has left this host.
 type NotSentError struct {
 	Cause error
--- a/jackdawd/internal/exchange/input.go
+++ b/jackdawd/internal/exchange/input.go
@@ -21,6 +21,11 @@
 	hasDeadline bool
 	// timedOut is set once a read was given up.
 	timedOut bool
+	// readsHeader is set until the header of the response is complete. Until then, headerLeft is how many bytes more may be
+	// read, and headerCheck is when abort is to be called, whatever has come.
+	readsHeader bool
+	headerLeft  int
+	headerCheck time.Time
 	// mu protects mustRecheck, and the deadline against rechecks.
 	mu sync.Mutex
 	// mustRecheck is set if abort is to be called at once.
@@ -33,21 +38,45 @@
 // timeout later, the caller may have left.
 const abortRetryDivisor = 4
 
-// Read reads from the connection. It returns os.ErrDeadlineExceeded if the upstream is silent for too long.
+// Read reads from the connection. It returns os.ErrDeadlineExceeded if the upstream is silent for too long, and
+// ErrHeaderTooLarge if the header does not end.
 func (i *input) Read(p []byte) (int, error) {
+	if i.readsHeader {
+		if i.headerLeft == 0 {
+			return 0, ErrHeaderTooLarge
+		}
+		p = p[:min(len(p), i.headerLeft)]
+	}
 	for wait := i.timeout; ; wait = i.timeout / abortRetryDivisor {
+		if i.readsHeader && i.timeout > 0 {
+			wait = max(time.Until(i.headerCheck), 1)
+		}
 		i.setDeadline(wait)
 		n, err := i.conn.Read(p)
 		switch {
 		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
+			i.headerLeft -= n
 			return n, err
 		case i.abort == nil || i.abort(i.recheck):
 			i.timedOut = true
 			return 0, err
 		}
+		i.headerCheck = time.Now().Add(i.timeout / abortRetryDivisor)
 	}
 }
 
+// beginHeader bounds the bytes that are read until endHeader, and the time until abort is called for the first time.
+func (i *input) beginHeader(timeout time.Duration) {
+	i.timeout, i.readsHeader, i.headerCheck = timeout, true, time.Now().Add(timeout)
+	i.bound(maxHeaderBytes)
+}
+
+// bound sets how many bytes more may be read until endHeader.
+func (i *input) bound(bytes int) { i.headerLeft = bytes }
+
+// endHeader ends the bounds of beginHeader.
+func (i *input) endHeader() { i.readsHeader = false }
+
 // setDeadline bounds the next read to d; 0 means that it is not bounded.
 func (i *input) setDeadline(d time.Duration) {
 	i.mu.Lock()
@@ -79,5 +108,5 @@
 func (i *input) reset() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.timeout, i.abort, i.hasDeadline, i.timedOut, i.mustRecheck = 0, nil, false, false, false
+	i.timeout, i.abort, i.hasDeadline, i.timedOut, i.mustRecheck, i.readsHeader = 0, nil, false, false, false, false
 }
--- a/jackdawd/internal/exchange/response.go
+++ b/jackdawd/internal/exchange/response.go
@@ -71,7 +71,7 @@
 }
 
 func (r *Response) readHead() error {
-	r.SetReadTimeout(r.request.HeaderTimeout)
+	r.conn.input.beginHeader(r.request.HeaderTimeout)
 	for skipped := range maxStaleResponses + 1 {
 		resp, err := r.readResponse()
 		if err != nil {
@@ -80,7 +80,8 @@
 		r.resp, r.head = resp, r.client.parser.ParseResponse(resp.StatusCode, resp.Header)
 		rejectsUnnamed := r.head.ID == "" && r.head.NotExecuted
 		if r.head.ID == r.request.ID || (rejectsUnnamed && skipped == 0) {
-			// The header timeout must not cut off a long body.
+			// The bounds of the header must not cut off a long body.
+			r.conn.input.endHeader()
 			r.SetReadTimeout(0)
 			return nil
 		}
@@ -89,9 +90,11 @@
 			return &MismatchError{Want: r.request.ID, Got: r.head.ID}
 		}
 		// This is a second response to an earlier request on the connection; skip it.
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBodyBytes)); err != nil {
+		r.conn.input.bound(maxStaleBodyBytes)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return r.interrupted(err)
 		}
+		r.conn.input.bound(maxHeaderBytes)
 	}
 	return &MismatchError{Want: r.request.ID, Got: r.head.ID}
 }
