--- a/jackdawd/internal/events/splitter.go
+++ b/jackdawd/internal/events/splitter.go
@@ -17,11 +17,15 @@
 // Add appends p to the buffer and returns all complete events in it, nil if there is none. The
 // result is valid until the next call.
 func (s *Splitter) Add(p []byte) []byte {
+	// Only the last bytes of what is pending may belong to the end of an event; looking through all of it for each part
+	// would make a large event expensive.
+	from := max(len(s.pending)-len("\n\r"), 0)
 	s.pending = append(s.pending, p...)
-	end := lastEventEnd(s.pending)
+	end := lastEventEnd(s.pending[from:])
 	if end == 0 {
 		return nil
 	}
+	end += from
 	complete := bytes.Clone(s.pending[:end])
 	s.pending = append(s.pending[:0], s.pending[end:]...)
 	s.trackEvents(complete)
--- a/jackdawd/internal/events/splitter_test.go
+++ b/jackdawd/internal/events/splitter_test.go
@@ -1,6 +1,7 @@
 package events
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 
@@ -67,3 +68,13 @@
 		}
 	})
 }
+
+func BenchmarkLargeEvent(b *testing.B) {
+	part := bytes.Repeat([]byte("x"), 1000)
+	for b.Loop() {
+		var s Splitter
+		for !s.IsPendingTooLarge() {
+			s.Add(part)
+		}
+	}
+}
