--- a/common/journal/client.go
+++ b/common/journal/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -18,6 +17,9 @@
 // service may hold them for new records.
 const responseTimeout = 5 * time.Second
 
+// maxResponseBytes bounds the body of a response, which holds many records.
+const maxResponseBytes = 64 << 20
+
 // A Client calls the log service over HTTP.
 type Client struct {
 	baseURL    string
@@ -87,7 +89,7 @@
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := wire.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
--- a/common/roster/client.go
+++ b/common/roster/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,6 +13,9 @@
 // readTimeout limits one read of the host list.
 const readTimeout = 5 * time.Second
 
+// maxListBytes bounds the body of a response, a few hundred bytes a host.
+const maxListBytes = 16 << 20
+
 // A Client reads the host list over HTTP.
 type Client struct {
 	url        string
@@ -50,7 +52,7 @@
 		return List{}, "", false, fmt.Errorf("read host list: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := wire.ReadBody(resp.Body, maxListBytes)
 	if err != nil {
 		return List{}, "", false, fmt.Errorf("read host list: %w", err)
 	}
--- a/common/wire/counter.go
+++ b/common/wire/counter.go
@@ -25,7 +25,7 @@
 // NewHTTPClient returns an HTTP client whose connections are counted, HTTP headers included.
 func (c *Counter) NewHTTPClient() *http.Client {
 	var dialer net.Dialer
-	return &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+	return &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: MaxHeaderBytes, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
--- a/jackdaw/internal/cmd/statuscmd.go
+++ b/jackdaw/internal/cmd/statuscmd.go
@@ -17,10 +17,14 @@
 
 	"jackdawhinge/common/report"
 	"jackdawhinge/common/targets"
+	"jackdawhinge/common/wire"
 )
 
 const queryTimeout = 5 * time.Second
 
+// maxAnswerBytes bounds the answer to a query.
+const maxAnswerBytes = 64 << 20
+
 func newStatusCmd(g *globalFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:   "status",
@@ -203,7 +207,7 @@
 		return fmt.Errorf("query host %s: %w", s.Host, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := wire.ReadBody(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return fmt.Errorf("query host %s: %w", s.Host, err)
 	}
--- a/jackdawd/internal/delivery/client.go
+++ b/jackdawd/internal/delivery/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jackdawhinge/common/upstream"
+	"jackdawhinge/common/wire"
 )
 
 // A Client sends HTTP requests to upstreams and other entry hosts. It is safe for concurrent use.
@@ -34,10 +35,11 @@
 func NewClient(options ...Option) *Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: wire.MaxHeaderBytes,
 	}
 	for _, option := range options {
 		option(transport)
--- a/jackdawd/internal/dispatch/peer.go
+++ b/jackdawd/internal/dispatch/peer.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -15,6 +14,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"jackdawhinge/common/upstream"
+	"jackdawhinge/common/wire"
 	"jackdawhinge/jackdawd/internal/delivery"
 	"jackdawhinge/jackdawd/internal/routing"
 	"jackdawhinge/jackdawd/internal/work"
@@ -28,6 +28,8 @@
 	moveCountHeader = "X-Attempt"
 	secretHeader    = "X-Fleet-Secret"
 	maxItemBytes    = 16 << 20
+	// maxAnswerBytes bounds an answer that is no stream; it may hold the response of a service.
+	maxAnswerBytes = 2 * maxItemBytes
 	// ownerStallTimeout gives the owner time to resume a stalled upstream first.
 	ownerStallTimeout = 4 * stallTimeout
 )
@@ -59,7 +61,7 @@
 			return sink(f)
 		})
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := wire.ReadBody(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return Move{}, fmt.Errorf("read answer of host %s: %w", host.Name(), err)
 	}
--- a/jackdawd/internal/fleet/compressor.go
+++ b/jackdawd/internal/fleet/compressor.go
@@ -5,10 +5,10 @@
 	"compress/flate"
 	"encoding/gob"
 	"fmt"
-	"io"
 	"sync"
 
 	"jackdawhinge/common/traffic"
+	"jackdawhinge/common/wire"
 	"jackdawhinge/jackdawd/internal/membership"
 )
 
@@ -51,7 +51,7 @@
 
 // decompress reverses compress.
 func decompress(compressed []byte) ([]byte, error) {
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxDecompressedBytes))
+	plain, err := wire.ReadBody(flate.NewReader(bytes.NewReader(compressed)), maxDecompressedBytes)
 	if err != nil {
 		return nil, fmt.Errorf("decompress: %w", err)
 	}
