--- a/jackdawd/internal/exchange/client.go
+++ b/jackdawd/internal/exchange/client.go
@@ -65,9 +65,9 @@
 	// HeaderTimeout is how long the upstream may take until the header of the response is complete, whatever it sends
 	// before that; 0 means that only the context bounds it.
 	HeaderTimeout time.Duration
-	// AbortOnTimeout is called when the timeout for the header, or later the one for reads of the body,
-	// has passed without data, and then each quarter of it, and reports whether to stop waiting; nil
-	// means always. Until data comes, other goroutines may call recheck for it to be called again at once.
+	// AbortOnTimeout is called when the timeout for the header, or later the one for the body, has passed, and then
+	// each quarter of it, and reports whether to stop waiting; nil means always. Until data comes, other goroutines may
+	// call recheck for it to be called again at once.
 	AbortOnTimeout func(recheck func()) bool
 	// MaxIdleTime bounds how long the connection may have been idle; 0 means no bound. A request that
 	// must not run twice avoids connections that the upstream may be about to close.
--- a/jackdawd/internal/exchange/input.go
+++ b/jackdawd/internal/exchange/input.go
@@ -8,24 +8,25 @@
 	"time"
 )
 
-// An input reads what an upstream sends on a connection, and limits its silence. Each read has its own deadline,
-// so that no time counts in which nothing is read. A read that has timed out has consumed nothing and can be
-// repeated, wherever in a response it is.
+// An input reads what an upstream sends on a connection, and limits the time until something is complete: a header, or
+// what the reader of the body waits for. A read that has timed out has consumed nothing and can be repeated, wherever in
+// a response it is.
 type input struct {
 	conn net.Conn
-	// timeout is how long a read may take; 0 means that it is not bounded.
+	// timeout is the time after which abort is called; 0 means never.
 	timeout time.Duration
+	// abortAt is when that is. Bytes that come meanwhile don't change it, as they may come without end.
+	abortAt time.Time
 	// abort reports whether to stop reading after a timeout; nil means always.
 	abort func(recheck func()) bool
 	// hasDeadline is set while the connection has a read deadline.
 	hasDeadline bool
 	// timedOut is set once a read was given up.
 	timedOut bool
-	// readsHeader is set until the header of the response is complete. Until then, headerLeft is how many bytes more may be
-	// read, and headerCheck is when abort is to be called, whatever has come.
+	// readsHeader is set until the header of the response is complete, and headerLeft is how many bytes more may be read
+	// until then.
 	readsHeader bool
 	headerLeft  int
-	headerCheck time.Time
 	// mu protects mustRecheck, and the deadline against rechecks.
 	mu sync.Mutex
 	// mustRecheck is set if abort is to be called at once.
@@ -47,11 +48,8 @@
 		}
 		p = p[:min(len(p), i.headerLeft)]
 	}
-	for wait := i.timeout; ; wait = i.timeout / abortRetryDivisor {
-		if i.readsHeader && i.timeout > 0 {
-			wait = max(time.Until(i.headerCheck), 1)
-		}
-		i.setDeadline(wait)
+	for {
+		i.setDeadline()
 		n, err := i.conn.Read(p)
 		switch {
 		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
@@ -61,32 +59,37 @@
 			i.timedOut = true
 			return 0, err
 		}
-		i.headerCheck = time.Now().Add(i.timeout / abortRetryDivisor)
+		i.abortAt = time.Now().Add(i.timeout / abortRetryDivisor)
 	}
 }
 
-// beginHeader bounds the bytes that are read until endHeader, and the time until abort is called for the first time.
-func (i *input) beginHeader(timeout time.Duration) {
-	i.timeout, i.readsHeader, i.headerCheck = timeout, true, time.Now().Add(timeout)
+// setTimeout makes abort be called once a time has passed from now; 0 means never.
+func (i *input) setTimeout(timeout time.Duration) {
+	i.timeout, i.abortAt = timeout, time.Now().Add(timeout)
+}
+
+// beginHeader bounds the bytes that are read until endHeader.
+func (i *input) beginHeader() {
+	i.readsHeader = true
 	i.bound(maxHeaderBytes)
 }
 
 // bound sets how many bytes more may be read until endHeader.
 func (i *input) bound(bytes int) { i.headerLeft = bytes }
 
-// endHeader ends the bounds of beginHeader.
+// endHeader ends the bound of beginHeader.
 func (i *input) endHeader() { i.readsHeader = false }
 
-// setDeadline bounds the next read to d; 0 means that it is not bounded.
-func (i *input) setDeadline(d time.Duration) {
+// setDeadline bounds the next read by the time at which abort is to be called.
+func (i *input) setDeadline() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	deadline := time.Time{}
 	switch {
 	case i.mustRecheck:
 		deadline = time.Now()
-	case d > 0:
-		deadline = time.Now().Add(d)
+	case i.timeout > 0:
+		deadline = i.abortAt
 	}
 	if i.hasDeadline || !deadline.IsZero() {
 		// Setting a deadline fails only on a closed connection. What arrived before is still valid, and
--- a/jackdawd/internal/exchange/response.go
+++ b/jackdawd/internal/exchange/response.go
@@ -43,9 +43,9 @@
 	return r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
 }
 
-// SetReadTimeout sets how long the upstream may be silent while the body is read; 0 means that only the context
-// bounds it.
-func (r *Response) SetReadTimeout(d time.Duration) { r.conn.input.timeout = d }
+// SetReadTimeout sets how long from now the upstream may take for what the reader of the body waits for, whatever it sends
+// before that; 0 means that only the context bounds it.
+func (r *Response) SetReadTimeout(d time.Duration) { r.conn.input.setTimeout(d) }
 
 // Buffered reports whether more of the response has already arrived.
 func (r *Response) Buffered() bool { return r.conn.reader.Buffered() > 0 }
@@ -71,7 +71,8 @@
 }
 
 func (r *Response) readHead() error {
-	r.conn.input.beginHeader(r.request.HeaderTimeout)
+	r.SetReadTimeout(r.request.HeaderTimeout)
+	r.conn.input.beginHeader()
 	for skipped := range maxStaleResponses + 1 {
 		resp, err := r.readResponse()
 		if err != nil {
--- a/jackdawd/internal/relay/buffered.go
+++ b/jackdawd/internal/relay/buffered.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// unreservedBytes is the size up to which a response, or an event, is held without a reservation.
+	unreservedBytes = 16 << 10
 	// maxBufferedBytes is the size up to which a response is buffered before it is sent to the
 	// caller, so that another upstream can be tried if it is truncated.
 	maxBufferedBytes = 256 << 10
@@ -28,12 +30,12 @@
 
 // relayBuffered forwards a response that is no stream.
 func (j *job) relayBuffered(ctx context.Context, resp *exchange.Response) result {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
+	body, complete, err := j.readResponse(resp)
 	if err != nil {
 		return result{verdict: broken, err: err}
 	}
 	buffered := &bufferedResponse{status: resp.Status(), header: resp.Header(), body: body}
-	if len(body) == maxBufferedBytes {
+	if !complete {
 		return j.relayUnbuffered(ctx, resp, buffered)
 	}
 	if resp.Status() >= http.StatusInternalServerError {
@@ -47,6 +49,20 @@
 	return end
 }
 
+// readResponse reads a response, or the first part of one that is too large to buffer.
+func (j *job) readResponse(resp *exchange.Response) (body []byte, complete bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(resp, unreservedBytes))
+	if err != nil || len(body) < unreservedBytes {
+		return body, true, err
+	}
+	if !j.reserveResponse(maxBufferedBytes) {
+		return body, false, nil
+	}
+	rest, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes-unreservedBytes))
+	body = append(body, rest...)
+	return body, len(body) < maxBufferedBytes, err
+}
+
 // writeBuffered writes a buffered response to the caller.
 func (j *job) writeBuffered(response *bufferedResponse) {
 	j.writeBufferedHeader(response)
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -146,7 +146,8 @@
 	// SchedulingDelay returns for how long this host's work waits for the processor; nil means that it
 	// never does.
 	SchedulingDelay func() time.Duration
-	// MaxTotalBodyBytes is the maximum size, in bytes, of the bodies of all requests in progress.
+	// MaxTotalBodyBytes is the maximum size, in bytes, of the bodies of all requests in progress, and of what is held
+	// of their responses until it is complete.
 	MaxTotalBodyBytes int64
 	// AdmitsByPool reports whether operators ask for pool-wide admission for all pools.
 	AdmitsByPool func() bool
@@ -162,7 +163,7 @@
 	inProgress atomic.Int64
 	// refusedForLoad counts the requests that were refused for lack of processor time.
 	refusedForLoad admission.RecentCount
-	// bodyBytes is the size reserved for the bodies of all requests in progress.
+	// bodyBytes is the size reserved of MaxTotalBodyBytes.
 	bodyBytes atomic.Int64
 	// slowWrites finds callers that read slowly.
 	slowWrites slowWriteMonitor
@@ -332,6 +333,18 @@
 	return nil
 }
 
+// reserveResponse reserves memory for a further part of a response that has to be held until it is complete, and reports
+// whether there is room beside the bodies of requests. Responses that never end would otherwise exhaust the host's
+// memory together.
+func (j *job) reserveResponse(n int64) bool {
+	if j.bodyBytes.Add(n) > j.MaxTotalBodyBytes {
+		j.bodyBytes.Add(-n)
+		return false
+	}
+	j.reservedBytes += n
+	return true
+}
+
 // readBody reads the whole body before an upstream is selected, so that the request can be retried
 // and no upstream waits for a slow caller.
 func (j *job) readBody(limit int64) *work.Refusal {
--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -42,8 +42,9 @@
 	suspect quarantine.Fingerprint
 	// probing is set if the request is sent to an upstream although it is quarantined.
 	probing bool
-	// reservedBytes is the part of Handler.bodyBytes that is reserved for the body.
-	reservedBytes int64
+	// reservedBytes is the part of Handler.bodyBytes that is reserved for the bodies of the request and the response;
+	// pendingBytes is the part of it for an incomplete event.
+	reservedBytes, pendingBytes int64
 
 	pool traffic.Pool
 	// priorWait is the estimated time between the caller's first attempt and this one.
--- a/jackdawd/internal/relay/read_ahead.go
+++ b/jackdawd/internal/relay/read_ahead.go
@@ -50,7 +50,8 @@
 }
 
 func (s eventSource) read(resp *exchange.Response, buf []byte) ([]byte, *result) {
-	if !s.current.firstEventAt.IsZero() {
+	if count := s.splitter.EventCount(); !s.current.firstEventAt.IsZero() && count > s.current.timedEvents {
+		s.current.timedEvents = count
 		s.setEventTimeout(resp)
 		s.clearPartsOfLastingStream()
 	}
--- a/jackdawd/internal/relay/stream.go
+++ b/jackdawd/internal/relay/stream.go
@@ -28,7 +28,10 @@
 	minEventReportTime = 800 * time.Millisecond
 )
 
-var errTruncatedEvent = errors.New("the stream ended in the middle of an event")
+var (
+	errTruncatedEvent = errors.New("the stream ended in the middle of an event")
+	errEventTooLarge  = errors.New("an event is larger than this host can hold")
+)
 
 // relayStream forwards a stream event by event, starting after the last event that was delivered.
 func (j *job) relayStream(ctx context.Context, resp *exchange.Response) result {
@@ -58,10 +61,11 @@
 // follow.
 func (j *job) readEvents(ctx context.Context, resp *exchange.Response, buf []byte) (events []byte, end *result) {
 	n, err := resp.Read(buf)
-	if n > 0 || errors.Is(err, io.EOF) {
+	events = j.splitter.Add(buf[:n])
+	// Parts of an event that never ends don't make a successor unneeded.
+	if len(events) > 0 || errors.Is(err, io.EOF) {
 		j.dropSuccessor()
 	}
-	events = j.splitter.Add(buf[:n])
 	switch {
 	case errors.Is(err, io.EOF) && (j.splitter.PendingBytes() > 0 || j.splitter.EventCount() == 0):
 		return events, &result{verdict: broken, err: errTruncatedEvent}
@@ -71,12 +75,26 @@
 		return events, &result{verdict: callerLeft, err: err}
 	case err != nil:
 		return events, &result{verdict: broken, err: err}
-	case j.splitter.IsPendingTooLarge():
-		return events, &result{verdict: broken, err: errTruncatedEvent}
+	case j.splitter.IsPendingTooLarge() || !j.reservePending():
+		return events, &result{verdict: broken, err: errEventTooLarge}
 	}
 	return events, nil
 }
 
+// reservePending reserves memory for an incomplete event, and reports whether there is room.
+func (j *job) reservePending() bool {
+	missing := int64(j.splitter.PendingBytes()) - unreservedBytes - j.pendingBytes
+	if missing <= 0 {
+		return true
+	}
+	missing = max(missing, unreservedBytes)
+	if !j.reserveResponse(missing) {
+		return false
+	}
+	j.pendingBytes += missing
+	return true
+}
+
 // setEventTimeout sets the timeout of the next event, or none if no other upstream could resume the
 // stream.
 func (j *job) setEventTimeout(resp *exchange.Response) {
--- a/jackdawd/internal/relay/upstream_attempt.go
+++ b/jackdawd/internal/relay/upstream_attempt.go
@@ -29,6 +29,8 @@
 	rejected bool
 	// firstByteAt is when the response began, firstEventAt when its first event came; zero before it.
 	firstByteAt, firstEventAt time.Time
+	// timedEvents is the number of the stream's events after which the timeout of the next one was set.
+	timedEvents int
 	// clearedParts is set once the attempt has lasted long enough to clear the parts of the prompt.
 	clearedParts bool
 	// endedAt is when the upstream was done; zero before it.
