--- a/common/peers/client.go
+++ b/common/peers/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -43,7 +44,8 @@
 	return c.bytes.Bytes()
 }
 
-// Call makes one RPC call and returns an error when ctx ends; the call may have taken effect then.
+// Call makes one RPC call and returns an error when ctx ends; the call may have taken effect then. The reply, a pointer,
+// is only changed by a call that succeeds.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	conn, err := c.connect(ctx, address)
 	if err != nil {
@@ -52,7 +54,9 @@
 	// A write blocks while the server reads nothing; closing the connection unblocks it.
 	stop := context.AfterFunc(ctx, func() { c.drop(address, conn) })
 	defer stop()
-	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// A reply that arrives after ctx has ended may be decoded while this function returns.
+	decoded := reflect.New(reflect.TypeOf(reply).Elem())
+	call := conn.Go(method, args, decoded.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		err = call.Error
@@ -60,6 +64,7 @@
 		err = ctx.Err()
 	}
 	if err == nil {
+		reflect.ValueOf(reply).Elem().Set(decoded.Elem())
 		return nil
 	}
 	if ctx.Err() != nil {
--- a/jackdawd/internal/fleet/newest.go
+++ b/jackdawd/internal/fleet/newest.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
 	others := c.directory.OnePerDomain(time.Now())
-	answers := make(chan NewestReply, len(others))
+	answers := make(chan *NewestReply, len(others))
 	for _, other := range others {
 		go func() {
 			reply, err := c.fetchNewest(ctx, other, version)
@@ -82,19 +82,23 @@
 	}
 	replies := make([]NewestReply, 0, len(others))
 	for range others {
-		replies = append(replies, <-answers)
+		if reply := <-answers; reply != nil {
+			replies = append(replies, *reply)
+		}
 	}
 	return replies
 }
 
 // fetchNewest returns another host's configuration if it is newer than the given version, and the
-// evacuations that ended recently as that host knows.
-func (c configurations) fetchNewest(ctx context.Context, other Peer, version int64) (NewestReply, error) {
+// evacuations that ended recently as that host knows; nil if it did not answer.
+func (c configurations) fetchNewest(ctx context.Context, other Peer, version int64) (*NewestReply, error) {
 	client := c.newClient(other.Secret)
 	defer c.closeClient(client)
 	var reply NewestReply
-	err := client.Call(ctx, other.Address, newestCall, &NewestArgs{Version: version}, &reply)
-	return reply, err
+	if err := client.Call(ctx, other.Address, newestCall, &NewestArgs{Version: version}, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
 }
 
 // decodeDocument returns a configuration that another host sent, or nil if it sent none.
