--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -95,7 +95,9 @@
 	Streams map[string]peers.StreamHandler
 	// Listen and Dial create connections between hosts, over TCP if nil.
 	Listen func(address string) (net.Listener, error)
-	Dial   peers.DialFunc
+	// OnServerFailure is called if the server for other hosts ends with an error; nil for nothing to call.
+	OnServerFailure func(err error)
+	Dial            peers.DialFunc
 }
 
 // A Source provides configuration and upstreams, from the store or from a host that reads or
@@ -311,6 +313,9 @@
 	s.done.Go(func() {
 		if err := server.Start(ctx); err != nil {
 			logrus.WithError(err).Error("fleet: The server for other hosts stopped.")
+			if s.options.OnServerFailure != nil {
+				s.options.OnServerFailure(err)
+			}
 		}
 	})
 }
--- a/jackdawd/internal/node/node.go
+++ b/jackdawd/internal/node/node.go
@@ -66,7 +66,12 @@
 	router := dispatch.NewRouter(n.control.View, n.owner, dispatch.NewHTTPPeer(client, s.FleetSecret), client, n.control, meter)
 	executor := ledger.NewExecutor(&claimRouter{currentView: n.control.View, partitions: n.partitions, peerClient: n.peerClient})
 	handler := intake.NewHandler(n.control.View, router, executor, meter, s.MaxBodyBytes)
-	server, err := peers.NewServer(s.Listen.Control, s.AcceptedSecrets(), map[string]any{
+	listener, err := meter.Listen("control", s.Listen.Control)
+	if err != nil {
+		n.control.Close()
+		return nil, err
+	}
+	server, err := peers.NewServerWithListener(listener, s.AcceptedSecrets(), map[string]any{
 		"Control": &controlService{node: n}, "Ledger": &ledgerService{partitions: n.partitions},
 	})
 	if err != nil {
@@ -152,6 +157,19 @@
 
 // Start serves until ctx ends or a server fails; it returns the server's error.
 func (n *Node) Start(ctx context.Context) error {
+	for _, s := range []struct {
+		name, address string
+		server        *khttp.Server
+	}{
+		{"callers", n.settings.Listen.Callers, n.callerServer}, {"hosts", n.settings.Listen.Peers, n.peerServer},
+		{"administration", n.settings.Listen.Admin, n.adminServer},
+	} {
+		listener, err := n.meter.Listen(s.name, s.address)
+		if err != nil {
+			return err
+		}
+		khttp.Listener(listener)(s.server)
+	}
 	servers := []interface{ Start(context.Context) error }{n.callerServer, n.peerServer, n.adminServer, n.controlServer}
 	for _, s := range servers {
 		go func() {
--- a/soak/internal/plan/plan.go
+++ b/soak/internal/plan/plan.go
@@ -78,6 +78,8 @@
 	// and keys in series.
 	SilenceSeveral      Kind = "silence-several"
 	ChangeConfiguration Kind = "change-configuration"
+	// UseUpDescriptors leaves a host without a free descriptor.
+	UseUpDescriptors Kind = "use-up-descriptors"
 )
 
 // trafficKinds are kinds of faults that have a random stream together.
@@ -151,6 +153,10 @@
 	// configuration; those from firstOverloadSeed on keep the plans with which they were recorded.
 	firstSilenceSeed = 12000
 	silenceStream    = 5
+	// firstDescriptorSeed is the first seed whose plan uses up the descriptors of hosts.
+	firstDescriptorSeed = 15000
+	descriptorStream    = 6
+	descriptorDuration  = 2 * time.Second
 	// minSilence and maxSilence bound how long sound upstreams are silent.
 	minSilence = time.Second
 	maxSilence = 1900 * time.Millisecond
@@ -186,6 +192,7 @@
 	faults = append(faults, generateUpstreamStates(seed, length)...)
 	faults = append(faults, generateTraffic(seed, length)...)
 	faults = append(faults, generateSilences(seed, length)...)
+	faults = append(faults, generateDescriptorFaults(seed, length)...)
 	if seed >= firstOverloadSeed {
 		for _, kind := range overloadKinds {
 			faults = append(faults, Fault{Kind: kind, Start: firstFaultStart, Duration: max(length-firstFaultStart, 0)})
@@ -279,3 +286,18 @@
 	}
 	return faults
 }
+
+// generateDescriptorFaults returns the times in the plan of a seed at which two hosts have no free descriptor; they may
+// overlap.
+func generateDescriptorFaults(seed uint64, length time.Duration) []Fault {
+	if seed < firstDescriptorSeed || seed >= firstOverloadSeed || length <= firstFaultStart+descriptorDuration {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, descriptorStream))
+	var faults []Fault
+	for range 2 {
+		start := firstFaultStart + time.Duration(random.Int64N(int64(length-firstFaultStart-descriptorDuration)))
+		faults = append(faults, Fault{Kind: UseUpDescriptors, Start: start, Duration: descriptorDuration, Target: random.IntN(targetRange)})
+	}
+	return faults
+}
--- a/soak/internal/rig/fleet.go
+++ b/soak/internal/rig/fleet.go
@@ -212,6 +212,11 @@
 		f.record.AddHostFault(hostIndex, start, start.Add(gracePeriod))
 		f.record.AddGracefulStop(hostIndex, start, start.Add(gracePeriod))
 		host.Signal(syscall.SIGTERM)
+	case plan.UseUpDescriptors:
+		f.record.AddHostFault(hostIndex, start, end)
+		restore := host.UseUpDescriptors()
+		time.Sleep(fault.Duration)
+		restore()
 	case plan.HangUp:
 		f.reloadSettings(host)
 	case plan.StoreForgets:
--- a/soak/internal/rig/host.go
+++ b/soak/internal/rig/host.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"jackdawhinge/platform"
 	"jackdawhinge/platform/standin"
 	"jackdawhinge/soak/internal/verdict"
@@ -118,6 +120,20 @@
 	_ = h.process.Signal(s)
 }
 
+// UseUpDescriptors leaves the process no descriptor more than it has open, until restore is called.
+func (h *Host) UseUpDescriptors() (restore func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	pid, before := h.process.Pid, unix.Rlimit{}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	// An error means that the process has just exited; it will be restarted.
+	if err != nil || unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &before) != nil {
+		return func() {}
+	}
+	_ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(len(open)), Max: before.Max}, nil)
+	return func() { _ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &before, nil) }
+}
+
 // Incarnation returns how many processes the host has started, the current one included.
 func (h *Host) Incarnation() int {
 	h.mu.Lock()
