--- a/jackdawd/internal/membership/poll.go
+++ b/jackdawd/internal/membership/poll.go
@@ -34,7 +34,8 @@
 		}
 		unavailable, wait, retry = false, t.pollWait(), 0
 		if c == nil {
-			t.confirm(sent - sourceAge)
+			// A configuration that was read before may not be in force yet.
+			t.enqueue(ctx, func(*state) { t.confirm(sent - sourceAge) })
 			continue
 		}
 		t.enqueue(ctx, func(s *state) {
--- a/jackdawd/internal/membership/tracker.go
+++ b/jackdawd/internal/membership/tracker.go
@@ -150,14 +150,53 @@
 	return t.options.Uptime() - time.Duration(confirmedAt)
 }
 
+// A View is a configuration with the upstreams, and how old the configuration may be.
+type View struct {
+	snapshot              *Snapshot
+	age                   time.Duration
+	honorsKeys, isCurrent bool
+}
+
+// Snapshot returns the configuration and the upstreams.
+func (v View) Snapshot() *Snapshot { return v.snapshot }
+
+// Age returns the maximum age of the configuration.
+func (v View) Age() time.Duration { return v.age }
+
+// HonorsKeys reports whether the configuration is recent enough to accept its keys.
+func (v View) HonorsKeys() bool { return v.honorsKeys }
+
+// IsCurrent reports whether the configuration is recent enough to reject a key or a path that it lacks.
+func (v View) IsCurrent() bool { return v.isCurrent }
+
+// View returns the configuration in force with its age.
+func (t *Tracker) View() View { return t.readView(t) }
+
+// A viewSource is what a View is read from.
+type viewSource interface {
+	Age() time.Duration
+	Snapshot() *Snapshot
+}
+
+func (t *Tracker) readView(source viewSource) View {
+	// The age is read first: a configuration that comes after it is newer than it says, while an older one could
+	// otherwise get the age of its successor, and accept keys that were revoked.
+	age := source.Age()
+	return View{snapshot: source.Snapshot(), age: age, honorsKeys: t.honorsKeysAt(age), isCurrent: t.isCurrentAt(age)}
+}
+
 // HonorsKeys reports whether the configuration is recent enough to accept its keys: none of them can
 // have been revoked for longer than the revocation bound.
-func (t *Tracker) HonorsKeys() bool {
-	return t.Age() < t.bounds.Load().MaxRevocationDelay-revocationMargin
+func (t *Tracker) HonorsKeys() bool { return t.honorsKeysAt(t.Age()) }
+
+func (t *Tracker) honorsKeysAt(age time.Duration) bool {
+	return age < t.bounds.Load().MaxRevocationDelay-revocationMargin
 }
 
 // IsCurrent reports whether the configuration is as recent as polling should make it.
-func (t *Tracker) IsCurrent() bool { return t.Age() < 2*t.pollWait()+minRetryInterval }
+func (t *Tracker) IsCurrent() bool { return t.isCurrentAt(t.Age()) }
+
+func (t *Tracker) isCurrentAt(age time.Duration) bool { return age < 2*t.pollWait()+minRetryInterval }
 
 // StaleTime returns how long in all the configuration was older than polling should make it.
 func (t *Tracker) StaleTime() time.Duration { return time.Duration(t.staleTotal.Load()) }
@@ -168,9 +207,10 @@
 // Ready reports whether the host can serve: the upstreams are known, and a configuration whose keys
 // may be honored is in force.
 func (t *Tracker) Ready() bool {
-	s := t.Snapshot()
+	v := t.View()
+	s := v.Snapshot()
 	c := s.Configuration()
-	return s.UpstreamsKnown() && c != nil && (!c.RequiresKey() || t.HonorsKeys())
+	return s.UpstreamsKnown() && c != nil && (!c.RequiresKey() || v.HonorsKeys())
 }
 
 // Observe records how a request to an upstream went. It never blocks: the observation is dropped if
--- a/jackdawd/internal/membership/tracker_test.go
+++ b/jackdawd/internal/membership/tracker_test.go
@@ -205,6 +205,39 @@
 	})
 }
 
+// A catchingUpSource has an old snapshot, and the latest one after the first read.
+type catchingUpSource struct {
+	age      time.Duration
+	snapshot *Snapshot
+	latest   *Snapshot
+}
+
+func (s *catchingUpSource) Age() time.Duration {
+	defer s.catchUp()
+	return s.age
+}
+
+func (s *catchingUpSource) Snapshot() *Snapshot {
+	defer s.catchUp()
+	return s.snapshot
+}
+
+func (s *catchingUpSource) catchUp() { s.age, s.snapshot = 0, s.latest }
+
+// Guards against a revoked key that is accepted by an old configuration, as the host catches up between the reads of the
+// configuration and its age.
+func TestOldConfigurationDoesNotGetAgeOfNext(t *testing.T) {
+	tracker := &Tracker{}
+	tracker.SetBounds(Bounds{MaxRevocationDelay: 5 * time.Second, MaxDrainDelay: 2 * time.Second})
+	source := &catchingUpSource{age: time.Minute, snapshot: &Snapshot{}, latest: &Snapshot{}}
+	view := tracker.readView(source)
+	require.False(t, view.HonorsKeys() && view.Snapshot() != source.latest)
+	require.False(t, view.IsCurrent() && view.Snapshot() != source.latest)
+	view = tracker.readView(source)
+	require.True(t, view.HonorsKeys())
+	require.True(t, view.IsCurrent())
+}
+
 // The host is suspended for a minute. Its monotonic clock stopped, but the configuration has aged.
 func TestSuspendedTimeCountsAsAge(t *testing.T) {
 	runTest(t, func(t *testing.T, tracker *Tracker, _ *fakeStore, suspended *atomic.Int64) {
--- a/jackdawd/internal/relay/handler.go
+++ b/jackdawd/internal/relay/handler.go
@@ -67,13 +67,8 @@
 type Membership interface {
 	// Snapshot returns the current configuration and upstreams.
 	Snapshot() *membership.Snapshot
-	// Age returns how old the configuration may be: the time since the store was last read.
-	Age() time.Duration
-	// HonorsKeys reports whether the configuration is recent enough to accept its keys.
-	HonorsKeys() bool
-	// IsCurrent reports whether the configuration is recent enough to reject a key or a path that it
-	// lacks.
-	IsCurrent() bool
+	// View returns the same with how old the configuration may be.
+	View() membership.View
 	// Observe records the result of an attempt at an upstream.
 	Observe(instance traffic.UpstreamInstance, result control.Result)
 	// RemoveReplaced records that another upstream has taken over the address.
@@ -242,7 +237,8 @@
 
 // prepare reads the request, checks it against the configuration and sets its deadline.
 func (j *job) prepare() *work.Refusal {
-	j.snapshot, j.configurationAge = j.Membership.Snapshot(), j.Membership.Age()
+	view := j.Membership.View()
+	j.snapshot, j.configurationAge = view.Snapshot(), view.Age()
 	configuration := j.snapshot.Configuration()
 	if configuration == nil {
 		return work.NewRefusal(http.StatusServiceUnavailable, work.NotReady, "the host has no configuration yet").WithRetryAfter(retryAfterUnavailable)
@@ -251,10 +247,10 @@
 	if j.request, err = j.Protocol.ParseRequest(j.r.Header); err != nil {
 		return work.NewRefusal(http.StatusBadRequest, work.BadRequest, "%v", err)
 	}
-	if refusal := j.findRoute(configuration); refusal != nil {
+	if refusal := j.findRoute(view); refusal != nil {
 		return refusal
 	}
-	if refusal := j.authenticate(configuration); refusal != nil {
+	if refusal := j.authenticate(view); refusal != nil {
 		return refusal
 	}
 	if limit := configuration.Limits().HeaderBytes; limit > 0 && headerBytes(j.r) > limit {
@@ -274,17 +270,17 @@
 }
 
 // findRoute sets the route that the request's host and path match.
-func (j *job) findRoute(configuration *traffic.Configuration) *work.Refusal {
+func (j *job) findRoute(view membership.View) *work.Refusal {
 	host := j.r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	route, ok := configuration.Match(host, j.r.URL.EscapedPath())
+	route, ok := view.Snapshot().Configuration().Match(host, j.r.URL.EscapedPath())
 	if ok {
 		j.route = route
 		return nil
 	}
-	if !j.Membership.IsCurrent() {
+	if !view.IsCurrent() {
 		// The route may be in a newer configuration that this host has not read yet.
 		return work.NewRefusal(http.StatusServiceUnavailable, work.NotReady, "the configuration here is out of date").WithRetryAfter(retryAfterUnavailable)
 	}
@@ -292,11 +288,12 @@
 }
 
 // authenticate sets the workspace of the request's key.
-func (j *job) authenticate(configuration *traffic.Configuration) *work.Refusal {
+func (j *job) authenticate(view membership.View) *work.Refusal {
+	configuration := view.Snapshot().Configuration()
 	if !configuration.RequiresKey() || j.route.Public {
 		return nil
 	}
-	if !j.Membership.HonorsKeys() {
+	if !view.HonorsKeys() {
 		// The key may have been revoked in a configuration that this host could not read.
 		return work.NewRefusal(http.StatusServiceUnavailable, work.NotReady, "the host cannot read the store").WithRetryAfter(retryAfterUnavailable)
 	}
@@ -305,7 +302,7 @@
 		j.workspace = workspace
 		return nil
 	}
-	if !j.Membership.IsCurrent() {
+	if !view.IsCurrent() {
 		return work.NewRefusal(http.StatusServiceUnavailable, work.NotReady, "the configuration here is out of date").WithRetryAfter(retryAfterUnavailable)
 	}
 	return work.NewRefusal(http.StatusUnauthorized, work.Unauthenticated, "the key is unknown")
