--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -37,9 +37,12 @@
 	balancerDrainDelay = 2500 * time.Millisecond
 	// abortMargin is how long before the end of the grace period remaining requests are aborted,
 	// so that the process exits before the platform kills it.
-	abortMargin = 400 * time.Millisecond
+	abortMargin = 600 * time.Millisecond
 	// refusalMargin is how much of abortMargin the refusals of aborted requests may take.
 	refusalMargin = 200 * time.Millisecond
+	// exitMargin is how long before the end of the grace period all parts are closed. The last log lines and traces are
+	// written after that.
+	exitMargin = 250 * time.Millisecond
 	// drainPollInterval is how often a draining host checks whether requests are in progress.
 	drainPollInterval = 50 * time.Millisecond
 	// headerTimeout is how long a caller may take to send a request's headers.
@@ -427,7 +430,7 @@
 	aborted := h.handler.InProgress()
 	h.handler.Abort()
 	h.closeIdleConns(deadline.Add(refusalMargin))
-	err := h.close()
+	err := h.close(start.Add(h.bounds.Load().GracePeriod - exitMargin))
 	logrus.WithField("cut-off", aborted).Info("entry: Stopped.")
 	return err
 }
@@ -445,14 +448,28 @@
 	}
 }
 
-func (h *Host) close() error {
-	h.cancel()
-	errs := []error{h.callerServer.Close(), h.readinessServer.Close(), h.source.Close()}
-	if h.adminServer != nil {
-		errs = append(errs, h.adminServer.Close())
+// close closes all parts until a deadline. Those that call the store come last, as it may be slow, and what takes longer
+// ends with the process.
+func (h *Host) close(deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	closed := make(chan error, 1)
+	go func() {
+		h.cancel()
+		errs := []error{h.callerServer.Close(), h.readinessServer.Close()}
+		if h.adminServer != nil {
+			errs = append(errs, h.adminServer.Close())
+		}
+		h.client.Close()
+		h.dialer.Close()
+		h.tracker.Close()
+		closed <- errors.Join(append(errs, h.source.Close(ctx))...)
+	}()
+	select {
+	case err := <-closed:
+		return err
+	case <-ctx.Done():
+		logrus.Warn("entry: Closing took too long. The process ends all the same.")
+		return nil
 	}
-	h.tracker.Close()
-	h.client.Close()
-	h.dialer.Close()
-	return errors.Join(errs...)
 }
--- a/jackdawd/internal/entry/stop_test.go
+++ b/jackdawd/internal/entry/stop_test.go
@@ -76,3 +76,35 @@
 		require.Less(t, time.Since(start), gracePeriod)
 	})
 }
+
+// Guards against a host that outlives its grace period, and is killed, as the store is slow at its end: with a request
+// that waits until then, and without one.
+func TestStopEndsInTimeWithSlowStore(t *testing.T) {
+	const storeDelay = 5 * time.Second
+	for name, isWaiting := range map[string]bool{"a request waits": true, "no request waits": false} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 2, func(t *testing.T, f *testFleet) {
+				for _, r := range f.runners {
+					r.SetBehavior(func(_ http.ResponseWriter, r *http.Request, _ []byte) bool {
+						<-r.Context().Done()
+						return true
+					})
+				}
+				f.hosts[0].store.putDelay.Store(int64(storeDelay))
+				start, latest := time.Now(), balancerDrainDelay+storeDelay
+				var conn net.Conn
+				if isWaiting {
+					latest = f.hosts[0].bounds.Load().GracePeriod - exitMargin
+					conn = f.startCall(f.hosts[0], "slow", "slow-1")
+				}
+				stopped := f.stopHost(0)
+				if isWaiting {
+					require.Equal(t, http.StatusBadGateway, readResponse(t, conn))
+				}
+				require.NoError(t, <-stopped)
+				require.LessOrEqual(t, time.Since(start), latest+100*time.Millisecond)
+				time.Sleep(storeDelay)
+			})
+		})
+	}
+}
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -332,8 +332,8 @@
 	return peers.NewServerWithListener(listener, secrets, services)
 }
 
-// Close removes this host's registration and stops.
-func (s *Source) Close() error {
+// Close removes this host's registration and stops. What takes longer than ctx allows is given up.
+func (s *Source) Close(ctx context.Context) error {
 	s.cancel()
 	s.mu.Lock()
 	server := s.server
@@ -342,12 +342,7 @@
 		s.done.Wait()
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
-	defer cancel()
-	if err := s.options.HostRegistry.Put(ctx, s.options.Name, nil); err != nil {
-		// Other hosts detect that this one is gone.
-		logrus.WithError(err).Info("fleet: Removing this host's registration failed.")
-	}
+	// Other hosts still follow this one until its server stops. The call to the store may take longest and comes last.
 	err := server.Stop(ctx)
 	s.mu.Lock()
 	for _, c := range s.clients {
@@ -356,10 +351,21 @@
 	s.closeQuarantineClient()
 	s.mu.Unlock()
 	s.closeSideClients()
+	s.deregister(ctx)
 	s.done.Wait()
 	return err
 }
 
+// deregister removes this host's registration.
+func (s *Source) deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	defer cancel()
+	if err := s.options.HostRegistry.Put(ctx, s.options.Name, nil); err != nil {
+		// Other hosts detect that this one is gone.
+		logrus.WithError(err).Info("fleet: Removing this host's registration failed.")
+	}
+}
+
 // await waits until a channel is closed or the context ends.
 func (s *Source) await(ctx context.Context, done <-chan struct{}) error {
 	select {
