--- a/common/traffic/configuration.go
+++ b/common/traffic/configuration.go
@@ -11,8 +11,6 @@
 // A Workspace is a customer, identified by the API key that its requests carry.
 type Workspace struct {
 	Name string
-	// Regions lists the regions that may process the workspace's requests; empty means all.
-	Regions []string
 	// Urgency ranks the workspace's requests, 0 being the most urgent; it is compared before the
 	// route's.
 	Urgency int
--- a/common/traffic/route.go
+++ b/common/traffic/route.go
@@ -49,8 +49,6 @@
 	Public bool
 	// Resumable streams may continue at another upstream after the last event delivered.
 	Resumable bool
-	// Regions lists the regions that may process the route's requests; empty means all.
-	Regions []string
 	// PromptCaching routes are served by engines that cache prompts.
 	PromptCaching bool
 }
