--- a/jackdawd/internal/entry/host.go
+++ b/jackdawd/internal/entry/host.go
@@ -347,6 +347,8 @@
 func newServer(address string, handler http.Handler) *khttp.Server {
 	server := khttp.NewServer(khttp.Address(address), khttp.Timeout(0), khttp.Filter(func(http.Handler) http.Handler { return handler }))
 	server.ReadHeaderTimeout = headerTimeout
+	// The library would answer OPTIONS * by itself, with a success that no upstream has signed.
+	server.DisableGeneralOptionsHandler = true
 	return server
 }
 
--- a/jackdawd/internal/entry/host_test.go
+++ b/jackdawd/internal/entry/host_test.go
@@ -42,3 +42,14 @@
 	require.False(t, <-disconnected)
 	require.NoError(t, server.Close())
 }
+
+// Guards against a success that no upstream has signed: the HTTP library answers OPTIONS * by itself.
+func TestOptionsOfServerIsRefused(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *testFleet) {
+		conn, err := f.net.Dial(t.Context(), "tcp", f.hosts[0].callerAddress)
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key-1\r\nConnection: close\r\n\r\n")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNotFound, readResponse(t, conn))
+	})
+}
--- a/jackdawd/internal/node/node.go
+++ b/jackdawd/internal/node/node.go
@@ -102,13 +102,13 @@
 	n.callerServer = khttp.NewServer(khttp.Address(n.settings.Listen.Callers), khttp.Timeout(0))
 	n.callerServer.HandleFunc(intake.ChatPath, handler.ServeChat)
 	n.callerServer.HandlePrefix(intake.ServicePath, http.HandlerFunc(handler.ServeService))
-	n.callerServer.ReadHeaderTimeout = headerTimeout
+	n.callerServer.ReadHeaderTimeout, n.callerServer.DisableGeneralOptionsHandler = headerTimeout, true
 	n.peerServer = khttp.NewServer(khttp.Address(n.settings.Listen.Peers), khttp.Timeout(0))
 	n.peerServer.Handle(dispatch.PeerPath, dispatch.PeerHandler(n.owner, n.settings.AcceptedSecrets(), n.stopping.Load))
-	n.peerServer.ReadHeaderTimeout = headerTimeout
+	n.peerServer.ReadHeaderTimeout, n.peerServer.DisableGeneralOptionsHandler = headerTimeout, true
 	n.adminServer = khttp.NewServer(khttp.Address(n.settings.Listen.Admin), khttp.Timeout(0))
 	n.adminServer.HandlePrefix("/", admin.Handler(n, meter.Handler()))
-	n.adminServer.ReadHeaderTimeout = headerTimeout
+	n.adminServer.ReadHeaderTimeout, n.adminServer.DisableGeneralOptionsHandler = headerTimeout, true
 }
 
 const headerTimeout = 10 * time.Second
