--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -350,7 +350,7 @@
 		MaxConnections: j.maxConnections(),
 		HeaderTimeout:  headerTimeout,
 		OnConnected:    func(through string) { j.recordConnected(a, through) },
-		AbortOnTimeout: func(recheck func()) bool { return j.isSucceeded(ctx, recheck) },
+		AbortOnTimeout: func(recheck func()) bool { return j.handleSilence(ctx, recheck) },
 	}
 	if !j.route.Repeatable() {
 		req.MaxIdleTime = maxIdleNonRepeatable
--- a/jackdawd/internal/relay/successor.go
+++ b/jackdawd/internal/relay/successor.go
@@ -45,9 +45,9 @@
 	return j.place()
 }
 
-// isSucceeded reports whether another upstream has accepted the request, for which the current one, which is silent, is
+// handleSilence reports whether another upstream has accepted the request, for which the current one, which is silent, is
 // to be given up. While none has, it asks one after the other. recheck makes it be called again at once.
-func (j *job) isSucceeded(ctx context.Context, recheck func()) bool {
+func (j *job) handleSilence(ctx context.Context, recheck func()) bool {
 	if s := j.successor; s != nil && s.ready.Load() {
 		if <-s.done; s.err == nil && j.accepts(s.attempt.response) {
 			return true
--- a/jackdawd/internal/telemetry/listen.go
+++ b/jackdawd/internal/telemetry/listen.go
@@ -41,7 +41,7 @@
 }
 
 func (f *acceptFailures) record(err error) {
-	f.meter.Count("accepts_failed", f.name)
+	f.meter.Count("accepts_failed", "listener", f.name)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.unlogged++
