--- a/jackdawd/internal/relay/job.go
+++ b/jackdawd/internal/relay/job.go
@@ -196,8 +196,12 @@
 
 // tracedAttempt sends the request to an upstream within a trace span.
 func (j *job) tracedAttempt(ctx context.Context, u *traffic.Upstream) result {
+	number := len(j.attempted)
+	if j.successor == nil {
+		number++
+	}
 	ctx, span := j.tracer.Start(ctx, "upstream", trace.WithAttributes(
-		attribute.String("upstream", u.ID), attribute.String("pool", u.Pool), attribute.Int("try", len(j.attempted)+1),
+		attribute.String("upstream", u.ID), attribute.String("pool", u.Pool), attribute.Int("try", number),
 	))
 	defer span.End()
 	r := j.try(ctx, u)
