--- a/jackdawd/internal/fleet/registration.go
+++ b/jackdawd/internal/fleet/registration.go
@@ -138,6 +138,8 @@
 
 // readDirectory reads the host list from the store.
 func (s *Source) readDirectory(ctx context.Context) {
+	s.directoryRead.Lock()
+	defer s.directoryRead.Unlock()
 	s.rereadDirectory.Store(false)
 	registrations, whole, until, err := s.options.HostRegistry.Next(ctx)
 	if err != nil {
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -202,6 +202,8 @@
 	planUpdatedAt    time.Time
 	upstreamInterval atomic.Int64
 	listReadAt       time.Time
+	// directoryRead is held while the host list is read: each read goes on where the one before it ended.
+	directoryRead sync.Mutex
 	// rereadDirectory is set when the host list should be read soon, registrationMissing when this
 	// host is not on it.
 	rereadDirectory      atomic.Bool
