--- a/jackdawd/internal/fleet/registration.go
+++ b/jackdawd/internal/fleet/registration.go
@@ -138,8 +138,12 @@
 
 // readDirectory reads the host list from the store.
 func (s *Source) readDirectory(ctx context.Context) {
-	s.directoryRead.Lock()
-	defer s.directoryRead.Unlock()
+	select {
+	case s.directoryRead <- struct{}{}:
+		defer func() { <-s.directoryRead }()
+	case <-ctx.Done():
+		return
+	}
 	s.rereadDirectory.Store(false)
 	registrations, whole, until, err := s.options.HostRegistry.Next(ctx)
 	if err != nil {
--- a/jackdawd/internal/fleet/source.go
+++ b/jackdawd/internal/fleet/source.go
@@ -202,8 +202,8 @@
 	planUpdatedAt    time.Time
 	upstreamInterval atomic.Int64
 	listReadAt       time.Time
-	// directoryRead is held while the host list is read: each read goes on where the one before it ended.
-	directoryRead sync.Mutex
+	// directoryRead holds an element while the host list is read: each read goes on where the one before it ended.
+	directoryRead chan struct{}
 	// rereadDirectory is set when the host list should be read soon, registrationMissing when this
 	// host is not on it.
 	rereadDirectory      atomic.Bool
@@ -232,7 +232,7 @@
 		options: o, directory: NewDirectory(self), subtree: newSubtree(), clients: map[Peer]*peers.Client{}, streams: resumption.NewTable(), startedAt: time.Now(), unsavedHistory: map[string]bool{}, historyChanged: newSignal(),
 		joined: make(chan struct{}), sourceChosen: make(chan struct{}),
 		startWaitUntil: time.Now().Add(minStartWait + mathrand.N(startWaitJitter)),
-		changes:        make(chan upstreamUpdate, maxQueuedChanges), parentLeft: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1), refreshed: newSignal(), planUpdated: newSignal(), storeRecovered: newSignal(),
+		changes:        make(chan upstreamUpdate, maxQueuedChanges), parentLeft: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1), directoryRead: make(chan struct{}, 1), refreshed: newSignal(), planUpdated: newSignal(), storeRecovered: newSignal(),
 	}
 	s.slots.expiry = map[uint32]map[uint64]time.Time{}
 	s.probes.grantedUntil, s.probes.askedUntil = map[quarantine.Fingerprint]time.Time{}, map[quarantine.Fingerprint]time.Time{}
